Set down the layout, the micro-kernel and the common module

Cause: everything after builds on the shape, so it comes first.

A task waits for sockets, timers and mail in one epoll reactor of ACE. Timers use a timer descriptor because the reactor's own time-out counts whole milliseconds: rounded down the loop spins, rounded up a call waits. Services live on tasks, find each other by name and message type, and get their messages from bounded mailboxes.

Settings are checked whole before anything starts; inih's C interface counts lines, which its C++ reader cannot.

--- /dev/null
+++ b/Source/Core/Common/Settings.cpp
@@ -0,0 +1,187 @@
+#include "Common/Settings.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "Common/Error.h"
+
+namespace Common {
+
+namespace {
+
+std::string joinedKey(const std::string &Section, const std::string &Key) {
+  return Section + "." + Key;
+}
+
+std::optional<std::int64_t> parseInteger(const std::string &Text) {
+  std::int64_t Number = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Rest, Failure] = std::from_chars(Text.data(), End, Number);
+  if (Failure != std::errc() || Rest != End)
+    return std::nullopt;
+  return Number;
+}
+
+std::optional<ResultCode> checkValue(const SettingRule &Rule,
+                                     const std::string &Value) {
+  if (Rule.Type == SettingType::Text)
+    return std::nullopt;
+  if (Rule.Type == SettingType::Flag) {
+    if (Value == "yes" || Value == "no")
+      return std::nullopt;
+    return ResultCode::SettingsWrongType;
+  }
+  std::optional<std::int64_t> Number;
+  if (Rule.Type == SettingType::Integer)
+    Number = parseInteger(Value);
+  else if (const std::optional<Micros> Time = parseDuration(Value))
+    Number = Time->count();
+  if (!Number)
+    return ResultCode::SettingsWrongType;
+  if (*Number < Rule.Least || *Number > Rule.Most)
+    return ResultCode::SettingsOutOfRange;
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string describeAllowed(const SettingRule &Rule) {
+  switch (Rule.Type) {
+  case SettingType::Text:
+    return "text";
+  case SettingType::Flag:
+    return "yes or no";
+  case SettingType::Integer:
+    return "a whole number from " + std::to_string(Rule.Least) + " to " +
+           std::to_string(Rule.Most);
+  case SettingType::Time:
+    return "a time with unit (us, ms, s, m, h, d) from " +
+           formatDuration(Micros(Rule.Least)) + " to " +
+           formatDuration(Micros(Rule.Most));
+  }
+  return "";
+}
+
+const std::string &Settings::text(const std::string &Section,
+                                  const std::string &Key) const {
+  const auto Found = Values.find(joinedKey(Section, Key));
+  if (Found == Values.end())
+    throw Error(ResultCode::SettingsUnknownKey, joinedKey(Section, Key));
+  return Found->second;
+}
+
+std::int64_t Settings::integer(const std::string &Section,
+                               const std::string &Key) const {
+  return parseInteger(text(Section, Key)).value();
+}
+
+Micros Settings::time(const std::string &Section,
+                      const std::string &Key) const {
+  return parseDuration(text(Section, Key)).value();
+}
+
+bool Settings::flag(const std::string &Section, const std::string &Key) const {
+  return text(Section, Key) == "yes";
+}
+
+SettingsBuilder &SettingsBuilder::rule(SettingRule Rule) {
+  Rules.push_back(std::move(Rule));
+  return *this;
+}
+
+SettingsBuilder &
+SettingsBuilder::rules(const std::vector<SettingRule> &MoreRules) {
+  Rules.insert(Rules.end(), MoreRules.begin(), MoreRules.end());
+  return *this;
+}
+
+SettingsBuilder &SettingsBuilder::input(const std::string &File,
+                                        const std::string &Text) {
+  IniDocument Document = parseIni(File, Text);
+  LastFile = File;
+  for (const int Line : Document.BadLines)
+    Faults.push_back({ResultCode::SettingsSyntax, File, Line,
+                      "allowed are [section], key = value and ; comment"});
+  for (IniSection &Section : Document.Sections)
+    Sections.push_back(std::move(Section));
+  return *this;
+}
+
+const SettingRule *SettingsBuilder::findRule(const std::string &Section,
+                                             const std::string &Key) const {
+  for (const SettingRule &Rule : Rules)
+    if (Rule.Section == Section && Rule.Key == Key)
+      return &Rule;
+  return nullptr;
+}
+
+void SettingsBuilder::checkEntry(const IniSection &Section,
+                                 const IniEntry &Entry) {
+  const SettingRule *Rule = findRule(Section.Name, Entry.Key);
+  if (!Rule) {
+    std::string Allowed;
+    for (const SettingRule &Each : Rules)
+      if (Each.Section == Section.Name)
+        Allowed += (Allowed.empty() ? "" : ", ") + Each.Key;
+    Faults.push_back({ResultCode::SettingsUnknownKey, Section.File, Entry.Line,
+                      "[" + Section.Name + "] " + Entry.Key +
+                          " is unknown; allowed are " + Allowed});
+    return;
+  }
+  // A faulty value is one fault; its key is not missing as well.
+  const auto Added =
+      Result.Values.emplace(joinedKey(Section.Name, Entry.Key), Entry.Value);
+  if (const auto Code = checkValue(*Rule, Entry.Value)) {
+    Faults.push_back({*Code, Section.File, Entry.Line,
+                      "[" + Section.Name + "] " + Entry.Key + " = " +
+                          Entry.Value + "; allowed is " +
+                          describeAllowed(*Rule)});
+    return;
+  }
+  if (!Added.second)
+    Faults.push_back({ResultCode::SettingsDuplicate, Section.File, Entry.Line,
+                      "[" + Section.Name + "] " + Entry.Key +
+                          " is given twice; allowed is once"});
+}
+
+void SettingsBuilder::check() {
+  if (Checked)
+    return;
+  Checked = true;
+  for (const IniSection &Section : Sections) {
+    const bool Known =
+        std::any_of(Rules.begin(), Rules.end(), [&](const SettingRule &Rule) {
+          return Rule.Section == Section.Name;
+        });
+    if (!Known) {
+      Faults.push_back({ResultCode::SettingsUnknownSection, Section.File,
+                        Section.Line, "[" + Section.Name + "] is unknown"});
+      continue;
+    }
+    for (const IniEntry &Entry : Section.Entries)
+      checkEntry(Section, Entry);
+  }
+  for (const SettingRule &Rule : Rules) {
+    if (Rule.Default)
+      Result.Values.emplace(joinedKey(Rule.Section, Rule.Key), *Rule.Default);
+    else if (!Result.Values.contains(joinedKey(Rule.Section, Rule.Key)))
+      Faults.push_back({ResultCode::SettingsMissing, LastFile, 0,
+                        "[" + Rule.Section + "] " + Rule.Key +
+                            " is missing; allowed is " +
+                            describeAllowed(Rule)});
+  }
+}
+
+const std::vector<Fault> &SettingsBuilder::faults() {
+  check();
+  return Faults;
+}
+
+Settings SettingsBuilder::build() {
+  check();
+  if (!Faults.empty())
+    throw Error(Faults.front().Code, Faults.front().text());
+  return Result;
+}
+
+} // namespace Common
--- /dev/null
+++ b/Source/Core/Kernel/Registry.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <typeindex>
+
+#include "Common/Error.h"
+#include "Kernel/Mailbox.h"
+
+namespace Kernel {
+
+// Finds the address of a service by its name.
+class Registry {
+public:
+  template <class Message>
+  void add(const std::string &Name, std::shared_ptr<Mailbox<Message>> Box) {
+    const std::scoped_lock Guard(Lock);
+    Entries.insert_or_assign(
+        Name, Entry{std::type_index(typeid(Message)), std::move(Box)});
+  }
+
+  // Throws ServiceNotFound for an unknown name or another message type.
+  template <class Message> Address<Message> find(const std::string &Name) {
+    const std::scoped_lock Guard(Lock);
+    const auto Found = Entries.find(Name);
+    if (Found == Entries.end() ||
+        Found->second.Type != std::type_index(typeid(Message)))
+      throw Common::Error(Common::ResultCode::ServiceNotFound, Name);
+    return Address<Message>(
+        std::static_pointer_cast<Mailbox<Message>>(Found->second.Box));
+  }
+
+private:
+  struct Entry {
+    std::type_index Type;
+    std::shared_ptr<void> Box;
+  };
+
+  std::mutex Lock;
+  std::map<std::string, Entry> Entries;
+};
+
+} // namespace Kernel
--- /dev/null
+++ b/Source/Core/Kernel/Task.cpp
@@ -0,0 +1,285 @@
+#include "Kernel/Task.h"
+
+#include <atomic>
+#include <cstdint>
+#include <future>
+#include <map>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+#include <ace/Thread.h>
+#include <spdlog/spdlog.h>
+#include <sys/eventfd.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include "Common/Error.h"
+#include "Common/UniqueFd.h"
+
+namespace Kernel {
+
+namespace {
+
+using Common::Duration;
+using Common::SteadyTime;
+
+constexpr std::size_t MaxSockets = 16384;
+
+ACE_Reactor_Mask toMask(IoReadiness Interest) {
+  ACE_Reactor_Mask Mask = ACE_Event_Handler::NULL_MASK;
+  if (Interest.Read)
+    Mask |= ACE_Event_Handler::READ_MASK;
+  if (Interest.Write)
+    Mask |= ACE_Event_Handler::WRITE_MASK;
+  return Mask;
+}
+
+void drainCounter(int Fd) {
+  std::uint64_t Count = 0;
+  while (::read(Fd, &Count, sizeof Count) > 0) {
+  }
+}
+
+} // namespace
+
+struct SocketWatch::Handler : ACE_Event_Handler {
+  int Fd = -1;
+  std::function<void(IoReadiness)> OnReady;
+
+  ACE_HANDLE get_handle() const override { return Fd; }
+  int handle_input(ACE_HANDLE Handle) override {
+    (void)Handle;
+    OnReady({.Read = true});
+    return 0;
+  }
+  int handle_output(ACE_HANDLE Handle) override {
+    (void)Handle;
+    OnReady({.Write = true});
+    return 0;
+  }
+};
+
+struct Task::Impl {
+  explicit Impl(std::string TaskName)
+      : Name(std::move(TaskName)),
+        Reactor(new ACE_Dev_Poll_Reactor(MaxSockets, true), true),
+        WakeFd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+        TimerFd(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {
+    if (!WakeFd.isOpen() || !TimerFd.isOpen())
+      Common::throwSystemError("creating a task's descriptors");
+  }
+
+  void armTimer();
+  void runDueTimers();
+  bool runJobs();
+  void runGuarded(const Job &Work);
+
+  std::string Name;
+  ACE_Reactor Reactor;
+  Common::UniqueFd WakeFd;
+  // epoll's own time-out counts whole milliseconds: rounded down it spins,
+  // rounded up it delays a call. A timer descriptor does neither.
+  Common::UniqueFd TimerFd;
+
+  std::mutex Lock;
+  std::vector<Job> Jobs;
+  bool WakePending = false;
+  std::atomic<std::thread::id> LoopThread;
+  std::atomic<bool> Stopping = false;
+
+  std::map<std::pair<SteadyTime, TimerId>, Job> Timers;
+  std::unordered_map<TimerId, SteadyTime> DueTimes;
+  TimerId NextTimer = 1;
+  SteadyTime ArmedFor = SteadyTime::max();
+  // Handlers whose watch ended; the reactor may still be inside one of them.
+  std::vector<std::unique_ptr<SocketWatch::Handler>> Retired;
+};
+
+void Task::Impl::armTimer() {
+  const SteadyTime Due =
+      Timers.empty() ? SteadyTime::max() : Timers.begin()->first.first;
+  if (Due == ArmedFor)
+    return;
+  ArmedFor = Due;
+  itimerspec Spec = {};
+  if (Due != SteadyTime::max()) {
+    const auto SinceEpoch = Due.time_since_epoch();
+    const auto Seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(SinceEpoch);
+    Spec.it_value.tv_sec = Seconds.count();
+    // A zero time would disarm the timer.
+    Spec.it_value.tv_nsec =
+        std::max<std::int64_t>((SinceEpoch - Seconds).count(), 1);
+  }
+  ::timerfd_settime(TimerFd.value(), TFD_TIMER_ABSTIME, &Spec, nullptr);
+}
+
+void Task::Impl::runGuarded(const Job &Work) {
+  try {
+    Work();
+  } catch (const std::exception &Failure) {
+    spdlog::error("task {}: {}", Name, Failure.what());
+  }
+}
+
+void Task::Impl::runDueTimers() {
+  const SteadyTime Now = std::chrono::steady_clock::now();
+  while (!Timers.empty() && Timers.begin()->first.first <= Now) {
+    auto Node = Timers.extract(Timers.begin());
+    DueTimes.erase(Node.key().second);
+    runGuarded(Node.mapped());
+  }
+}
+
+bool Task::Impl::runJobs() {
+  std::vector<Job> Batch;
+  {
+    const std::scoped_lock Guard(Lock);
+    Batch.swap(Jobs);
+  }
+  for (const Job &Each : Batch)
+    runGuarded(Each);
+  const std::scoped_lock Guard(Lock);
+  return !Jobs.empty();
+}
+
+Task::Task(std::string Name) : Self(std::make_unique<Impl>(std::move(Name))) {}
+
+Task::~Task() {
+  requestStop();
+  join();
+}
+
+const std::string &Task::name() const { return Self->Name; }
+
+void Task::spawn() {
+  Thread = std::thread([this] { run(); });
+}
+
+void Task::run() {
+  Impl &State = *Self;
+  State.LoopThread = std::this_thread::get_id();
+  State.Reactor.owner(ACE_Thread::self());
+  const auto Wake =
+      watch(State.WakeFd.value(), {.Read = true}, [&State](IoReadiness) {
+        drainCounter(State.WakeFd.value());
+        const std::scoped_lock Guard(State.Lock);
+        State.WakePending = false;
+      });
+  const auto Alarm =
+      watch(State.TimerFd.value(), {.Read = true}, [&State](IoReadiness) {
+        drainCounter(State.TimerFd.value());
+        State.ArmedFor = SteadyTime::max();
+      });
+
+  while (!State.Stopping) {
+    State.runDueTimers();
+    const bool MoreJobs = State.runJobs();
+    if (State.Stopping)
+      break;
+    if (MoreJobs) {
+      ACE_Time_Value Immediately = ACE_Time_Value::zero;
+      State.Reactor.handle_events(Immediately);
+    } else {
+      State.armTimer();
+      State.Reactor.handle_events();
+    }
+    State.Retired.clear();
+  }
+  while (State.runJobs()) {
+  }
+}
+
+void Task::post(Job Work) {
+  bool MustWake = false;
+  {
+    const std::scoped_lock Guard(Self->Lock);
+    Self->Jobs.push_back(std::move(Work));
+    MustWake = !Self->WakePending &&
+               Self->LoopThread.load() != std::this_thread::get_id();
+    if (MustWake)
+      Self->WakePending = true;
+  }
+  if (MustWake) {
+    const std::uint64_t One = 1;
+    // A full counter means that a wake-up is already on its way.
+    [[maybe_unused]] const auto Written =
+        ::write(Self->WakeFd.value(), &One, sizeof One);
+  }
+}
+
+void Task::runAndWait(const Job &Work) {
+  std::promise<void> Finished;
+  std::exception_ptr Failure;
+  post([&] {
+    try {
+      Work();
+    } catch (...) {
+      Failure = std::current_exception();
+    }
+    Finished.set_value();
+  });
+  Finished.get_future().wait();
+  if (Failure)
+    std::rethrow_exception(Failure);
+}
+
+void Task::requestStop() {
+  post([this] { Self->Stopping = true; });
+}
+
+void Task::join() {
+  if (Thread.joinable())
+    Thread.join();
+}
+
+TimerId Task::after(Duration Delay, Job Work) {
+  const SteadyTime Due = std::chrono::steady_clock::now() + Delay;
+  const TimerId Id = Self->NextTimer++;
+  Self->Timers.emplace(std::pair(Due, Id), std::move(Work));
+  Self->DueTimes.emplace(Id, Due);
+  return Id;
+}
+
+void Task::cancel(TimerId Timer) {
+  const auto Found = Self->DueTimes.find(Timer);
+  if (Found == Self->DueTimes.end())
+    return;
+  Self->Timers.erase(std::pair(Found->second, Timer));
+  Self->DueTimes.erase(Found);
+}
+
+std::unique_ptr<SocketWatch>
+Task::watch(int Fd, IoReadiness Interest,
+            std::function<void(IoReadiness)> OnReady) {
+  auto Watched = std::make_unique<SocketWatch::Handler>();
+  Watched->Fd = Fd;
+  Watched->OnReady = [this, Ready = std::move(OnReady)](IoReadiness What) {
+    Self->runGuarded([&] { Ready(What); });
+  };
+  if (Self->Reactor.register_handler(Fd, Watched.get(), toMask(Interest)) < 0)
+    Common::throwSystemError("watching a socket");
+  return std::unique_ptr<SocketWatch>(
+      new SocketWatch(*this, std::move(Watched)));
+}
+
+SocketWatch::SocketWatch(Task &Owner, std::unique_ptr<Handler> Watched)
+    : Owner(Owner), Watched(std::move(Watched)) {}
+
+SocketWatch::~SocketWatch() {
+  Owner.Self->Reactor.remove_handler(Watched->Fd,
+                                     ACE_Event_Handler::ALL_EVENTS_MASK |
+                                         ACE_Event_Handler::DONT_CALL);
+  Owner.Self->Retired.push_back(std::move(Watched));
+}
+
+void SocketWatch::setInterest(IoReadiness Interest) {
+  Owner.Self->Reactor.mask_ops(Watched->Fd, toMask(Interest),
+                               ACE_Reactor::SET_MASK);
+}
+
+} // namespace Kernel
--- /dev/null
+++ b/Tools/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs what is missing and builds everything in build/release.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Tools/install-packages.sh
+cmake --preset release >/dev/null
+cmake --build --preset release
