--- /dev/null
+++ b/Source/Core/Wire/Codec.cpp
@@ -0,0 +1,263 @@
+#include "Wire/Codec.h"
+
+#include <memory>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include "Common/Error.h"
+#include "Wire/Compression.h"
+#include "Zinnia_types.h"
+
+namespace Wire {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using Common::Error;
+using Common::ResultCode;
+using Protocol = TCompactProtocolT<TMemoryBuffer>;
+
+constexpr std::size_t MaxSetBytes = 64 << 20;
+
+template <class Struct> std::string pack(const Struct &Content) {
+  auto Buffer = std::make_shared<TMemoryBuffer>();
+  Protocol Out(Buffer);
+  Content.write(&Out);
+  return Buffer->getBufferAsString();
+}
+
+template <class Struct>
+Struct unpack(std::string_view Bytes, ResultCode OnFailure) {
+  // The library wants a mutable pointer but only reads in OBSERVE mode.
+  auto *Data =
+      reinterpret_cast<std::uint8_t *>(const_cast<char *>(Bytes.data()));
+  auto Buffer = std::make_shared<TMemoryBuffer>(
+      Data, static_cast<std::uint32_t>(Bytes.size()), TMemoryBuffer::OBSERVE);
+  // A damaged length must not make the library reserve that much.
+  Protocol In(Buffer, static_cast<std::int32_t>(Bytes.size()),
+              static_cast<std::int32_t>(Bytes.size()));
+  Struct Content;
+  try {
+    Content.read(&In);
+  } catch (const std::exception &Failure) {
+    throw Error(OnFailure, Failure.what());
+  }
+  return Content;
+}
+
+Generated::Frame toWire(const Hello &From) {
+  Generated::Hello Part;
+  Part.Node = From.Node;
+  Part.DataCentre = From.DataCentre;
+  Part.ProtocolLevel = From.Level;
+  Generated::Frame Result;
+  Result.__set_HelloFrame(Part);
+  return Result;
+}
+
+Generated::Frame toWire(const Routing::CallRequest &From) {
+  Generated::CallRequest Part;
+  Part.CallId = From.Attempt;
+  Part.Service = From.Service;
+  Part.Kind = From.Kind;
+  Part.Method = From.Method;
+  Part.Target = From.Target;
+  Part.Body = From.Body;
+  Part.Headers = From.Fields;
+  Part.RemainingMicros = From.Remaining.count();
+  Part.AttemptsLeft = From.AttemptsLeft;
+  Part.LongLane = From.LongLane;
+  Part.CorrelationId = From.CorrelationId;
+  Part.Caller = From.Caller;
+  Part.ConfigVersion = From.ConfigVersion;
+  Part.Idempotent = From.Idempotent;
+  Generated::Frame Result;
+  Result.__set_Request(Part);
+  return Result;
+}
+
+Generated::Frame toWire(const Routing::CallReply &From) {
+  Generated::CallReply Part;
+  Part.CallId = From.Attempt;
+  Part.Result = Common::resultCodeNumber(From.Result);
+  Part.HttpStatus = From.HttpStatus;
+  Part.Body = From.Body;
+  Part.Headers = From.Fields;
+  Part.Queued = From.Load.Queued;
+  Part.BusySlots = From.Load.BusySlots;
+  Part.Slots = From.Load.Slots;
+  Part.QueueMicros = From.QueueTime.count();
+  Part.ServiceMicros = From.ServiceTime.count();
+  Part.Server = From.Server;
+  Generated::Frame Result;
+  Result.__set_Reply(Part);
+  return Result;
+}
+
+Generated::Frame toWire(const CancelCall &From) {
+  Generated::CancelCall Part;
+  Part.CallId = From.Attempt;
+  Generated::Frame Result;
+  Result.__set_Cancel(Part);
+  return Result;
+}
+
+Generated::Frame toWire(const Echo &From) {
+  Generated::Echo Part;
+  Part.Sequence = From.Sequence;
+  Part.IsAnswer = From.IsAnswer;
+  Generated::Frame Result;
+  Result.__set_EchoFrame(Part);
+  return Result;
+}
+
+Routing::CallRequest fromWire(Generated::CallRequest &Part) {
+  Routing::CallRequest Result;
+  Result.Attempt = Part.CallId;
+  Result.Service = std::move(Part.Service);
+  Result.Kind = std::move(Part.Kind);
+  Result.Method = std::move(Part.Method);
+  Result.Target = std::move(Part.Target);
+  Result.Body = std::move(Part.Body);
+  Result.Fields = std::move(Part.Headers);
+  Result.Remaining = Common::Micros(Part.RemainingMicros);
+  Result.AttemptsLeft = Part.AttemptsLeft;
+  Result.LongLane = Part.LongLane;
+  Result.Idempotent = Part.Idempotent;
+  Result.CorrelationId = std::move(Part.CorrelationId);
+  Result.Caller = std::move(Part.Caller);
+  Result.ConfigVersion = Part.ConfigVersion;
+  return Result;
+}
+
+Routing::CallReply fromWire(Generated::CallReply &Part) {
+  Routing::CallReply Result;
+  Result.Attempt = Part.CallId;
+  Result.Result = static_cast<ResultCode>(Part.Result);
+  Result.HttpStatus = Part.HttpStatus;
+  Result.Body = std::move(Part.Body);
+  Result.Fields = std::move(Part.Headers);
+  Result.Load = {
+      .Queued = Part.Queued, .BusySlots = Part.BusySlots, .Slots = Part.Slots};
+  Result.QueueTime = Common::Micros(Part.QueueMicros);
+  Result.ServiceTime = Common::Micros(Part.ServiceMicros);
+  Result.Server = std::move(Part.Server);
+  return Result;
+}
+
+Generated::MemberState toWire(const Membership::Member &From) {
+  Generated::MemberState Result;
+  Result.Node = From.Node;
+  Result.DataCentre = From.DataCentre;
+  Result.Address = From.Address;
+  Result.PeerPort = From.PeerPort;
+  Result.MemberPort = From.MemberPort;
+  Result.Incarnation = From.Incarnation;
+  Result.Health = static_cast<std::int32_t>(From.State);
+  Result.ConfigVersion = From.ConfigVersion;
+  for (const Membership::Endpoint &Each : From.Endpoints) {
+    Generated::EndpointState Part;
+    Part.Service = Each.Service;
+    Part.Server = Each.Server;
+    Part.Slots = Each.Slots;
+    Part.Leaving = Each.Leaving;
+    Result.Endpoints.push_back(std::move(Part));
+  }
+  return Result;
+}
+
+Membership::Member fromWire(const Generated::MemberState &From) {
+  if (From.Health < static_cast<int>(Membership::Health::Alive) ||
+      From.Health > static_cast<int>(Membership::Health::Left))
+    throw Error(ResultCode::FrameMalformed, "member health");
+  Membership::Member Result;
+  Result.Node = From.Node;
+  Result.DataCentre = From.DataCentre;
+  Result.Address = From.Address;
+  Result.PeerPort = From.PeerPort;
+  Result.MemberPort = From.MemberPort;
+  Result.Incarnation = From.Incarnation;
+  Result.State = static_cast<Membership::Health>(From.Health);
+  Result.ConfigVersion = From.ConfigVersion;
+  for (const Generated::EndpointState &Each : From.Endpoints)
+    Result.Endpoints.push_back(
+        {Each.Service, Each.Server, Each.Slots, Each.Leaving});
+  return Result;
+}
+
+} // namespace
+
+std::string encodeFrame(const Frame &Content) {
+  return std::visit([](const auto &Part) { return pack(toWire(Part)); },
+                    Content);
+}
+
+Frame decodeFrame(std::string_view Bytes) {
+  auto Decoded = unpack<Generated::Frame>(Bytes, ResultCode::FrameMalformed);
+  if (Decoded.__isset.Request)
+    return fromWire(Decoded.Request);
+  if (Decoded.__isset.Reply)
+    return fromWire(Decoded.Reply);
+  if (Decoded.__isset.Cancel)
+    return CancelCall{Decoded.Cancel.CallId};
+  if (Decoded.__isset.EchoFrame)
+    return Echo{Decoded.EchoFrame.Sequence, Decoded.EchoFrame.IsAnswer};
+  if (Decoded.__isset.HelloFrame)
+    return Hello{std::move(Decoded.HelloFrame.Node),
+                 std::move(Decoded.HelloFrame.DataCentre),
+                 Decoded.HelloFrame.ProtocolLevel};
+  throw Error(ResultCode::FrameMalformed, "frame of no known type");
+}
+
+std::string encodeHeartbeat(const Heartbeat &Content) {
+  Generated::Datagram Result;
+  Result.From = Content.From;
+  for (const Membership::Member &Each : Content.Members)
+    Result.Members.push_back(toWire(Each));
+  return pack(Result);
+}
+
+Heartbeat decodeHeartbeat(std::string_view Bytes) {
+  const auto Decoded =
+      unpack<Generated::Datagram>(Bytes, ResultCode::FrameMalformed);
+  Heartbeat Result;
+  Result.From = Decoded.From;
+  for (const Generated::MemberState &Each : Decoded.Members)
+    Result.Members.push_back(fromWire(Each));
+  return Result;
+}
+
+std::string encodeRecord(const Config::Record &Content) {
+  Generated::ConfigRecord Result;
+  Result.Id = Content.Id;
+  Result.Base = Content.Base;
+  Result.Level = Content.Level;
+  Result.Author = Content.Author;
+  Result.Note = Content.Note;
+  Result.CompressedSet = compress(Content.SetText);
+  Result.Hash = static_cast<std::int64_t>(hashOf(Content.SetText));
+  return pack(Result);
+}
+
+Config::Record decodeRecord(std::string_view Bytes) {
+  auto Decoded =
+      unpack<Generated::ConfigRecord>(Bytes, ResultCode::RecordMalformed);
+  Config::Record Result;
+  Result.Id = std::move(Decoded.Id);
+  Result.Base = Decoded.Base;
+  Result.Level = Decoded.Level;
+  Result.Author = std::move(Decoded.Author);
+  Result.Note = std::move(Decoded.Note);
+  try {
+    Result.SetText = decompress(Decoded.CompressedSet, MaxSetBytes);
+  } catch (const Error &Failure) {
+    throw Error(ResultCode::RecordMalformed, Failure.what());
+  }
+  if (static_cast<std::int64_t>(hashOf(Result.SetText)) != Decoded.Hash)
+    throw Error(ResultCode::RecordMalformed, "hash of the set is wrong");
+  return Result;
+}
+
+} // namespace Wire
--- /dev/null
+++ b/Source/Core/Wire/Zinnia.thrift
@@ -0,0 +1,115 @@
+// Messages between the system's own processes. Peers exchange Frame over TCP
+// (four length bytes, big-endian, then compact protocol) and Datagram over UDP.
+namespace cpp Wire.Generated
+
+struct Hello {
+  1: string Node,
+  2: string DataCentre,
+  3: i32 ProtocolLevel,
+}
+
+struct CallRequest {
+  1: i64 CallId,
+  2: string Service,
+  3: string Kind,
+  4: string Method,
+  5: string Target,
+  6: binary Body,
+  7: map<string, string> Headers,
+  8: i64 RemainingMicros,
+  9: i32 AttemptsLeft,
+  10: bool LongLane,
+  11: string CorrelationId,
+  12: string Caller,
+  13: i64 ConfigVersion,
+  14: bool Idempotent,
+}
+
+struct CallReply {
+  1: i64 CallId,
+  2: i32 Result,
+  3: i32 HttpStatus,
+  4: binary Body,
+  5: map<string, string> Headers,
+  6: i32 Queued,
+  7: i32 BusySlots,
+  8: i32 Slots,
+  9: i64 QueueMicros,
+  10: i64 ServiceMicros,
+  11: string Server,
+}
+
+struct CancelCall {
+  1: i64 CallId,
+}
+
+struct Echo {
+  1: i64 Sequence,
+  2: bool IsAnswer,
+}
+
+struct ConfigWanted {
+  1: i64 AboveVersion,
+}
+
+struct ConfigOffer {
+  1: i64 Version,
+  2: i32 RuleLevel,
+  3: binary CompressedSet,
+  4: i64 Hash,
+}
+
+union Frame {
+  1: Hello HelloFrame,
+  2: CallRequest Request,
+  3: CallReply Reply,
+  4: CancelCall Cancel,
+  5: Echo EchoFrame,
+  6: ConfigWanted Wanted,
+  7: ConfigOffer Offer,
+}
+
+// A record on the platform's log.
+struct ConfigRecord {
+  1: string Id,
+  2: i64 Base,
+  3: i32 Level,
+  4: string Author,
+  5: string Note,
+  6: binary CompressedSet,
+  7: i64 Hash,
+}
+
+struct EndpointState {
+  1: string Service,
+  2: string Server,
+  3: i32 Slots,
+  4: bool Leaving,
+}
+
+struct MemberState {
+  1: string Node,
+  2: string DataCentre,
+  3: string Address,
+  4: i32 PeerPort,
+  5: i32 MemberPort,
+  6: i64 Incarnation,
+  7: i32 Health,
+  8: list<EndpointState> Endpoints,
+  9: i64 ConfigVersion,
+}
+
+struct Probe {
+  1: i64 Sequence,
+  2: bool IsAnswer,
+  3: string Target,
+  4: string OnBehalfOf,
+}
+
+struct Datagram {
+  1: string From,
+  2: i64 ConfigVersion,
+  3: optional Probe ProbePart,
+  4: list<MemberState> Members,
+  5: bool WantsAll,
+}
