Decide on sets, routes, servers and slots, and run them as a node

Decisions take events and a time point and give actions; services are shells round them, with their targets as template parameters, so that tests put mocks there.

Thin on purpose, and to be replaced: every node follows the log itself, and heartbeats carry every member to everyone.

--- /dev/null
+++ b/Source/Core/Config/ObjectSetBuilder.cpp
@@ -0,0 +1,306 @@
+#include "Config/ObjectSetBuilder.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <set>
+
+#include "Common/Error.h"
+
+namespace Config {
+
+using Common::ResultCode;
+
+namespace {
+
+constexpr int MaxAttempts = 10;
+constexpr int MaxBudgetPercent = 100;
+constexpr Common::Micros MaxDeadline{3'600'000'000};
+
+bool isName(const std::string &Text) {
+  if (Text.empty() || Text.size() > 64)
+    return false;
+  return std::all_of(Text.begin(), Text.end(), [](char C) {
+    return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9') || C == '-';
+  });
+}
+
+// Reads the keys of one object and notes what is wrong with them.
+class KeyReader {
+public:
+  KeyReader(const Common::IniSection &Section,
+            std::vector<Common::Fault> &Faults)
+      : Section(Section), Faults(Faults) {}
+
+  std::string name(const std::string &Key, bool Required) {
+    const Common::IniEntry *Entry = find(Key, Required);
+    if (Entry && !isName(Entry->Value))
+      bad(*Entry, "a name of a-z, 0-9 and -");
+    return Entry ? Entry->Value : "";
+  }
+
+  std::string text(const std::string &Key, bool Required,
+                   const std::string &FirstCharacter) {
+    const Common::IniEntry *Entry = find(Key, Required);
+    if (Entry && Entry->Value.rfind(FirstCharacter, 0) != 0)
+      bad(*Entry, "text that starts with " + FirstCharacter);
+    return Entry ? Entry->Value : "";
+  }
+
+  // Choices[0] is the default of a key that is not required.
+  std::string choice(const std::string &Key, bool Required,
+                     const std::vector<std::string> &Choices) {
+    const Common::IniEntry *Entry = find(Key, Required);
+    if (!Entry)
+      return Choices[0];
+    if (std::find(Choices.begin(), Choices.end(), Entry->Value) ==
+        Choices.end()) {
+      std::string Allowed;
+      for (const std::string &Each : Choices)
+        Allowed += (Allowed.empty() ? "" : ", ") + Each;
+      bad(*Entry, Allowed);
+    }
+    return Entry->Value;
+  }
+
+  int number(const std::string &Key, int Least, int Most, int Default) {
+    const Common::IniEntry *Entry = find(Key, false);
+    if (!Entry)
+      return Default;
+    int Value = 0;
+    const char *End = Entry->Value.data() + Entry->Value.size();
+    const auto [Rest, Failure] =
+        std::from_chars(Entry->Value.data(), End, Value);
+    if (Failure != std::errc() || Rest != End || Value < Least || Value > Most)
+      bad(*Entry, "a whole number from " + std::to_string(Least) + " to " +
+                      std::to_string(Most));
+    return Value;
+  }
+
+  std::optional<Common::Micros> time(const std::string &Key, bool Required) {
+    const Common::IniEntry *Entry = find(Key, Required);
+    if (!Entry)
+      return std::nullopt;
+    const auto Value = Common::parseDuration(Entry->Value);
+    if (!Value || Value->count() == 0 || *Value > MaxDeadline)
+      bad(*Entry, "a time with unit (us, ms, s, m, h) above 0, up to " +
+                      Common::formatDuration(MaxDeadline));
+    return Value;
+  }
+
+  // Reports keys that nothing asked for, and keys given twice.
+  void finish() {
+    std::set<std::string> Seen;
+    for (const Common::IniEntry &Entry : Section.Entries) {
+      if (!Known.contains(Entry.Key))
+        add(ResultCode::ObjectUnknownKey, Entry.Line, Entry.Key);
+      else if (!Seen.insert(Entry.Key).second)
+        add(ResultCode::ObjectDuplicate, Entry.Line, Entry.Key);
+    }
+  }
+
+private:
+  const Common::IniEntry *find(const std::string &Key, bool Required) {
+    Known.insert(Key);
+    for (const Common::IniEntry &Entry : Section.Entries)
+      if (Entry.Key == Key)
+        return &Entry;
+    if (Required)
+      add(ResultCode::ObjectMissingKey, Section.Line, Key);
+    return nullptr;
+  }
+
+  void bad(const Common::IniEntry &Entry, const std::string &Allowed) {
+    add(ResultCode::ObjectBadValue, Entry.Line,
+        Entry.Key + " = " + Entry.Value + "; allowed is " + Allowed);
+  }
+
+  void add(ResultCode Code, int Line, const std::string &Detail) {
+    Faults.push_back(
+        {Code, Section.File, Line, "[" + Section.Name + "] " + Detail});
+  }
+
+  const Common::IniSection &Section;
+  std::vector<Common::Fault> &Faults;
+  std::set<std::string> Known;
+};
+
+} // namespace
+
+ObjectSetBuilder &ObjectSetBuilder::input(const std::string &File,
+                                          const std::string &Text) {
+  Common::IniDocument Document = Common::parseIni(File, Text);
+  for (const int Line : Document.BadLines)
+    Faults.push_back({ResultCode::ObjectSyntax, File, Line,
+                      "allowed are [type name], key = value and ; comment"});
+  for (Common::IniSection &Section : Document.Sections)
+    Sections.push_back(std::move(Section));
+  return *this;
+}
+
+void ObjectSetBuilder::addFault(ResultCode Code, const std::string &Object,
+                                const std::string &Detail) {
+  const Place &Where = Places[Object];
+  Faults.push_back(
+      {Code, Where.File, Where.Line, "[" + Object + "] " + Detail});
+}
+
+void ObjectSetBuilder::takeSection(const Common::IniSection &Section) {
+  const std::size_t Space = Section.Name.find(' ');
+  const std::string Type = Section.Name.substr(0, Space);
+  const std::string Name =
+      Space == std::string::npos ? "" : Section.Name.substr(Space + 1);
+  const bool KnownType =
+      Type == "service" || Type == "retry" || Type == "kind" || Type == "route";
+  if (!KnownType || !isName(Name)) {
+    Faults.push_back({ResultCode::ObjectUnknownSection, Section.File,
+                      Section.Line,
+                      "[" + Section.Name +
+                          "]; allowed are service, route, kind and retry, "
+                          "each with a name of a-z, 0-9 and -"});
+    return;
+  }
+  const auto [Earlier, IsNew] =
+      Places.emplace(Section.Name, Place{Section.File, Section.Line});
+  if (!IsNew) {
+    Faults.push_back({ResultCode::ObjectDuplicate, Section.File, Section.Line,
+                      "[" + Section.Name + "] is defined at " +
+                          Earlier->second.File + ":" +
+                          std::to_string(Earlier->second.Line) + " already"});
+    return;
+  }
+  if (Type == "service")
+    takeService(Name, Section);
+  else if (Type == "retry")
+    takeRetryRule(Name, Section);
+  else if (Type == "kind")
+    takeKind(Name, Section);
+  else
+    takeRoute(Name, Section);
+}
+
+void ObjectSetBuilder::takeService(const std::string &Name,
+                                   const Common::IniSection &Section) {
+  KeyReader Keys(Section, Faults);
+  Service Taken;
+  Taken.Name = Name;
+  Taken.Fallback = Keys.name("fallback", false);
+  Keys.finish();
+  Result.Services[Name] = Taken;
+}
+
+void ObjectSetBuilder::takeRetryRule(const std::string &Name,
+                                     const Common::IniSection &Section) {
+  KeyReader Keys(Section, Faults);
+  RetryRule Taken;
+  Taken.Name = Name;
+  Taken.Attempts = Keys.number("attempts", 1, MaxAttempts, Taken.Attempts);
+  Taken.BudgetPercent =
+      Keys.number("budget-percent", 0, MaxBudgetPercent, Taken.BudgetPercent);
+  Taken.HedgeAfter = Keys.time("hedge-after", false);
+  Keys.finish();
+  Result.RetryRules[Name] = Taken;
+}
+
+void ObjectSetBuilder::takeKind(const std::string &Name,
+                                const Common::IniSection &Section) {
+  KeyReader Keys(Section, Faults);
+  RequestKind Taken;
+  Taken.Name = Name;
+  Taken.LongLane = Keys.choice("lane", false, {"short", "long"}) == "long";
+  Taken.Idempotent = Keys.choice("idempotent", true, {"yes", "no"}) == "yes";
+  Taken.Deadline = Keys.time("deadline", true).value_or(Taken.Deadline);
+  Taken.Retry = Keys.name("retry", true);
+  Keys.finish();
+  Result.Kinds[Name] = Taken;
+}
+
+void ObjectSetBuilder::takeRoute(const std::string &Name,
+                                 const Common::IniSection &Section) {
+  KeyReader Keys(Section, Faults);
+  Route Taken;
+  Taken.Name = Name;
+  Taken.Prefix = Keys.text("prefix", true, "/");
+  const std::string Method =
+      Keys.choice("method", false,
+                  {"any", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"});
+  Taken.Method = Method == "any" ? "" : Method;
+  Taken.Service = Keys.name("service", true);
+  Taken.Kind = Keys.name("kind", true);
+  Keys.finish();
+  Result.Routes[Name] = Taken;
+}
+
+void ObjectSetBuilder::checkReferences() {
+  const auto Need = [this](const std::string &Object, const std::string &Type,
+                           const std::string &Name) {
+    if (!Name.empty() && !Places.contains(Type + " " + Name))
+      addFault(ResultCode::ObjectDanglingName, Object,
+               Type + " = " + Name + " is not in the set");
+  };
+  for (const auto &[Name, Each] : Result.Services)
+    Need("service " + Name, "service", Each.Fallback);
+  for (const auto &[Name, Each] : Result.Kinds)
+    Need("kind " + Name, "retry", Each.Retry);
+  for (const auto &[Name, Each] : Result.Routes) {
+    Need("route " + Name, "service", Each.Service);
+    Need("route " + Name, "kind", Each.Kind);
+  }
+}
+
+void ObjectSetBuilder::checkFallbackCycles() {
+  for (const auto &[Name, Start] : Result.Services) {
+    std::set<std::string> Passed;
+    std::string At = Name;
+    while (!At.empty() && Passed.insert(At).second) {
+      const auto Next = Result.Services.find(At);
+      At = Next == Result.Services.end() ? "" : Next->second.Fallback;
+    }
+    if (At == Name)
+      addFault(ResultCode::ObjectCycle, "service " + Name,
+               "is its own fallback in the end");
+  }
+}
+
+void ObjectSetBuilder::checkRouteConflicts() {
+  std::map<std::pair<std::string, std::string>, std::string> Owners;
+  for (const auto &[Name, Each] : Result.Routes) {
+    const auto [Earlier, IsNew] =
+        Owners.emplace(std::pair(Each.Prefix, Each.Method), Name);
+    if (!IsNew)
+      addFault(ResultCode::ObjectConflict, "route " + Name,
+               "matches the same requests as route " + Earlier->second);
+  }
+}
+
+void ObjectSetBuilder::check() {
+  if (Checked)
+    return;
+  Checked = true;
+  for (const Common::IniSection &Section : Sections)
+    takeSection(Section);
+  checkReferences();
+  checkFallbackCycles();
+  checkRouteConflicts();
+  if (Places.empty() && Faults.empty())
+    Faults.push_back({ResultCode::SetEmpty, "set", 0, "no objects"});
+  std::stable_sort(Faults.begin(), Faults.end(),
+                   [](const Common::Fault &Left, const Common::Fault &Right) {
+                     return std::pair(Left.File, Left.Line) <
+                            std::pair(Right.File, Right.Line);
+                   });
+}
+
+const std::vector<Common::Fault> &ObjectSetBuilder::faults() {
+  check();
+  return Faults;
+}
+
+ObjectSetPtr ObjectSetBuilder::build() {
+  check();
+  if (!Faults.empty())
+    throw Common::Error(Faults.front().Code, Faults.front().text());
+  return std::make_shared<const ObjectSet>(Result);
+}
+
+} // namespace Config
--- /dev/null
+++ b/Source/Core/Config/ObjectSetBuilder.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Common/IniDocument.h"
+#include "Config/ObjectSet.h"
+
+namespace Config {
+
+// Reads objects from files and checks the whole set together.
+class ObjectSetBuilder {
+public:
+  ObjectSetBuilder &input(const std::string &File, const std::string &Text);
+
+  // Every fault of the set, ordered by file and line.
+  const std::vector<Common::Fault> &faults();
+  // Throws an Error with the first fault if there is one.
+  ObjectSetPtr build();
+
+private:
+  struct Place {
+    std::string File;
+    int Line = 0;
+  };
+
+  void check();
+  void takeSection(const Common::IniSection &Section);
+  void takeService(const std::string &Name, const Common::IniSection &Section);
+  void takeRetryRule(const std::string &Name,
+                     const Common::IniSection &Section);
+  void takeKind(const std::string &Name, const Common::IniSection &Section);
+  void takeRoute(const std::string &Name, const Common::IniSection &Section);
+  void checkReferences();
+  void checkFallbackCycles();
+  void checkRouteConflicts();
+  void addFault(Common::ResultCode Code, const std::string &Object,
+                const std::string &Detail);
+
+  std::vector<Common::IniSection> Sections;
+  std::vector<Common::Fault> Faults;
+  // Where each object, such as "route prices", was defined.
+  std::map<std::string, Place> Places;
+  ObjectSet Result;
+  bool Checked = false;
+};
+
+} // namespace Config
--- /dev/null
+++ b/Source/Core/Node/BackendService.h
@@ -0,0 +1,231 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <spdlog/spdlog.h>
+
+#include "Admission/SlotQueue.h"
+#include "Http/Client.h"
+#include "Kernel/Host.h"
+#include "Node/CallResponse.h"
+#include "Node/Messages.h"
+#include "Node/NodeSettings.h"
+
+namespace Node {
+
+// The far side of calls: admits them to the slots of the backend server beside
+// this node and passes them on over HTTP.
+template <Kernel::MessageSink<PeersMessage> Peers> class BackendService {
+public:
+  using Message = BackendMessage;
+
+  BackendService(Kernel::Context Around, const NodeSettings &Settings,
+                 std::function<Peers()> FindPeers)
+      : Home(Around.Home), Settings(Settings), FindPeers(std::move(FindPeers)) {
+  }
+
+  void start() {
+    ToPeers = FindPeers();
+    Transport = std::make_unique<Http::Client>(Home);
+  }
+
+  void handle(Message Content) {
+    std::visit([this](auto &Part) { this->take(Part); }, Content);
+    armExpiry();
+  }
+
+  // Runs what was admitted to its end; new calls are refused as not run.
+  void drain(std::function<void()> Done) {
+    Queue.close();
+    OnDrained = std::move(Done);
+    finishDrain();
+  }
+
+  void stop() { Transport.reset(); }
+
+private:
+  struct OpenCall {
+    OriginId Origin = LocalOrigin;
+    Routing::CallRequest Request;
+    Common::SteadyTime Arrived;
+    Common::SteadyTime Started;
+    Common::SteadyTime Deadline;
+    std::optional<Http::TransferId> Transfer;
+  };
+  using AttemptKey = std::pair<OriginId, Routing::AttemptId>;
+
+  static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
+
+  void take(RequestArrived &Part) {
+    const Admission::TicketId Id = NextTicket++;
+    OpenCall Call;
+    Call.Origin = Part.Origin;
+    Call.Request = std::move(Part.Request);
+    Call.Arrived = now();
+    Call.Deadline = Call.Arrived + Call.Request.Remaining;
+    Tickets.emplace(AttemptKey(Call.Origin, Call.Request.Attempt), Id);
+    const OpenCall &Opened = Calls.emplace(Id, std::move(Call)).first->second;
+    if (Opened.Request.Service != Server.Service) {
+      refuse(Id, Common::ResultCode::ServiceUnknown);
+      return;
+    }
+    act(Queue.offer(
+        {Id, Opened.Request.LongLane, Opened.Deadline, Opened.Request.Caller},
+        now()));
+  }
+
+  void take(CancelArrived &Part) {
+    cancel(AttemptKey(Part.Origin, Part.Attempt));
+  }
+
+  void take(OriginLost &Part) {
+    std::vector<AttemptKey> Lost;
+    for (auto Each = Tickets.lower_bound(AttemptKey(Part.Origin, INT64_MIN));
+         Each != Tickets.end() && Each->first.first == Part.Origin; ++Each)
+      Lost.push_back(Each->first);
+    for (const AttemptKey &Each : Lost)
+      cancel(Each);
+  }
+
+  void take(ServerAnnounced &Part) {
+    Server = Part.Server;
+    ServerAddress = Part.Address;
+    Queue.setSlots(Server.Slots);
+  }
+
+  void take(ServerLeft &Part) {
+    if (Part.Server != Server.Server)
+      return;
+    Server = {};
+    Queue.setSlots(0);
+  }
+
+  void cancel(const AttemptKey &Key) {
+    const auto Found = Tickets.find(Key);
+    if (Found == Tickets.end())
+      return;
+    const Admission::TicketId Id = Found->second;
+    const OpenCall &Call = Calls.at(Id);
+    const bool Waited = Queue.withdraw(Id);
+    if (!Waited && !Call.Request.Idempotent)
+      return; // Cutting it off would leave its effect in doubt.
+    if (Call.Transfer)
+      Transport->cancel(*Call.Transfer);
+    forget(Id);
+    if (!Waited)
+      act(Queue.finished(Id, now()));
+  }
+
+  void act(const Admission::AdmissionActions &Actions) {
+    for (const Admission::AdmissionAction &Each : Actions) {
+      if (const auto *Run = std::get_if<Admission::RunCall>(&Each))
+        run(Run->Id);
+      else if (const auto *Refuse = std::get_if<Admission::RefuseCall>(&Each))
+        refuse(Refuse->Id, Refuse->Code);
+    }
+    finishDrain();
+  }
+
+  void run(Admission::TicketId Id) {
+    OpenCall &Call = Calls.at(Id);
+    Call.Started = now();
+    Http::ClientRequest Asked;
+    Asked.Method = Call.Request.Method;
+    Asked.Url = "http://" + ServerAddress + Call.Request.Target;
+    Asked.Fields = Call.Request.Fields;
+    const auto Left = std::chrono::duration_cast<Common::Micros>(Call.Deadline -
+                                                                 Call.Started);
+    Asked.Fields["x-correlation-id"] = Call.Request.CorrelationId;
+    Asked.Fields["x-attempts-left"] = std::to_string(Call.Request.AttemptsLeft);
+    Asked.Fields["x-deadline-ms"] = std::to_string(
+        std::chrono::duration_cast<Common::Millis>(Left).count());
+    Asked.Body = std::move(Call.Request.Body);
+    Asked.Limit = Left;
+    Asked.NeverResend = !Call.Request.Idempotent;
+    Call.Transfer = Transport->send(
+        std::move(Asked),
+        [this, Id](Http::ClientResult Result) { finish(Id, Result); });
+  }
+
+  void finish(Admission::TicketId Id, Http::ClientResult &Result) {
+    const OpenCall &Call = Calls.at(Id);
+    Routing::CallReply Reply;
+    Reply.HttpStatus = Result.Reply.Status;
+    if (!Result.Answered) {
+      spdlog::warn("call {}: {} did not answer: {}", Call.Request.CorrelationId,
+                   Server.Server, Result.Failure);
+      Reply.Result = Result.MayHaveRun ? Common::ResultCode::OutcomeUnknown
+                                       : Common::ResultCode::PeerUnreachable;
+    } else if (Result.Reply.Fields.contains("x-not-run")) {
+      Reply.Result = Common::ResultCode::ServerShed;
+    } else {
+      Reply.Body = std::move(Result.Reply.Body);
+      Reply.Fields = std::move(Result.Reply.Fields);
+    }
+    Reply.QueueTime =
+        std::chrono::duration_cast<Common::Micros>(Call.Started - Call.Arrived);
+    Reply.ServiceTime =
+        std::chrono::duration_cast<Common::Micros>(now() - Call.Started);
+    // The next call takes the slot before the answer is written out.
+    act(Queue.finished(Id, now()));
+    reply(Id, std::move(Reply));
+    finishDrain();
+  }
+
+  void refuse(Admission::TicketId Id, Common::ResultCode Code) {
+    Routing::CallReply Reply;
+    Reply.Result = Code;
+    reply(Id, std::move(Reply));
+  }
+
+  void reply(Admission::TicketId Id, Routing::CallReply Reply) {
+    const OpenCall &Call = Calls.at(Id);
+    Reply.Attempt = Call.Request.Attempt;
+    Reply.Load = Queue.load();
+    Reply.Server = Server.Server;
+    ToPeers.post(SendReply{Call.Origin, std::move(Reply)});
+    forget(Id);
+  }
+
+  void forget(Admission::TicketId Id) {
+    const auto Node = Calls.extract(Id);
+    Tickets.erase(
+        AttemptKey(Node.mapped().Origin, Node.mapped().Request.Attempt));
+  }
+
+  // Waiting calls are refused at their deadline even when nothing else moves.
+  void armExpiry() {
+    if (Timer || Queue.load().Queued == 0)
+      return;
+    Timer = Home.after(Common::Millis(10), [this] {
+      Timer.reset();
+      act(Queue.expire(now()));
+      armExpiry();
+    });
+  }
+
+  void finishDrain() {
+    if (OnDrained && Queue.isIdle())
+      // The answers still have to leave through the sockets.
+      Home.after(Common::Millis(200), std::exchange(OnDrained, nullptr));
+  }
+
+  Kernel::Task &Home;
+  NodeSettings Settings;
+  std::function<Peers()> FindPeers;
+  Peers ToPeers;
+  std::unique_ptr<Http::Client> Transport;
+  Admission::SlotQueue Queue;
+  Membership::Endpoint Server;
+  std::string ServerAddress;
+  std::unordered_map<Admission::TicketId, OpenCall> Calls;
+  std::map<AttemptKey, Admission::TicketId> Tickets;
+  Admission::TicketId NextTicket = 1;
+  std::optional<Kernel::TimerId> Timer;
+  std::function<void()> OnDrained;
+};
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Node/CallResponse.cpp
@@ -0,0 +1,93 @@
+#include "Node/CallResponse.h"
+
+#include <charconv>
+
+namespace Node {
+
+using Common::ResultCode;
+
+namespace {
+
+constexpr const char *CorrelationField = "x-correlation-id";
+constexpr const char *DeadlineField = "x-deadline-ms";
+constexpr const char *AttemptsField = "x-attempts-left";
+
+std::optional<std::int64_t> numberField(const Http::Headers &Fields,
+                                        const std::string &Name) {
+  const auto Found = Fields.find(Name);
+  if (Found == Fields.end())
+    return std::nullopt;
+  std::int64_t Value = 0;
+  const char *End = Found->second.data() + Found->second.size();
+  const auto [Rest, Failure] =
+      std::from_chars(Found->second.data(), End, Value);
+  if (Failure != std::errc() || Rest != End || Value < 0)
+    return std::nullopt;
+  return Value;
+}
+
+int statusOf(ResultCode Code) {
+  constexpr int NotFound = 404;
+  constexpr int ServiceUnavailable = 503;
+  constexpr int GatewayTimeout = 504;
+  if (Code == ResultCode::NoRoute)
+    return NotFound;
+  return Common::isNotRun(Code) ? ServiceUnavailable : GatewayTimeout;
+}
+
+} // namespace
+
+void removeConnectionFields(Http::Headers &Fields) {
+  for (const char *Name :
+       {"connection", "keep-alive", "transfer-encoding", "content-length", "te",
+        "trailer", "upgrade", "expect", "proxy-connection", "host"})
+    Fields.erase(Name);
+}
+
+Http::Response toResponse(const Routing::CallReply &Reply, int Attempts,
+                          const std::string &CorrelationId) {
+  Http::Response Result;
+  Result.Fields = Reply.Fields;
+  removeConnectionFields(Result.Fields);
+  const std::string Number =
+      std::to_string(Common::resultCodeNumber(Reply.Result));
+  if (Reply.Result == ResultCode::Ok) {
+    Result.Status = Reply.HttpStatus;
+    Result.Body = Reply.Body;
+  } else {
+    Result.Status = statusOf(Reply.Result);
+    Result.Body = Number + " " +
+                  std::string(Common::resultCodeName(Reply.Result)) +
+                  (Common::isNotRun(Reply.Result) ? ": not run\n"
+                                                  : ": outcome unknown\n");
+  }
+  Result.Fields["x-zinnia-result"] = Number;
+  Result.Fields["x-zinnia-attempts"] = std::to_string(Attempts);
+  Result.Fields[CorrelationField] = CorrelationId;
+  if (!Reply.Server.empty())
+    Result.Fields["x-zinnia-server"] = Reply.Server;
+  return Result;
+}
+
+Routing::CallStart toCallStart(Routing::CallId Id, Http::Request Asked,
+                               const std::string &FreshCorrelationId) {
+  Routing::CallStart Result;
+  Result.Call = Id;
+  if (const auto Limit = numberField(Asked.Fields, DeadlineField))
+    Result.Limit = Common::Millis(*Limit);
+  if (const auto Left = numberField(Asked.Fields, AttemptsField))
+    Result.AttemptsLeft = static_cast<int>(std::min<std::int64_t>(*Left, 100));
+  const auto Given = Asked.Fields.find(CorrelationField);
+  Result.CorrelationId =
+      Given == Asked.Fields.end() ? FreshCorrelationId : Given->second;
+  removeConnectionFields(Asked.Fields);
+  Result.Method = std::move(Asked.Method);
+  Result.Path = std::move(Asked.Path);
+  Result.Target = std::move(Asked.Target);
+  Result.Body = std::move(Asked.Body);
+  Result.Fields = std::move(Asked.Fields);
+  Result.Caller = std::move(Asked.Caller);
+  return Result;
+}
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -0,0 +1,116 @@
+#include "Node/NodeSettings.h"
+
+#include <charconv>
+#include <sstream>
+
+#include "Common/Error.h"
+
+namespace Node {
+
+using Common::SettingType;
+
+namespace {
+
+constexpr std::int64_t MaxPort = 65535;
+constexpr std::int64_t Second = 1'000'000;
+
+SeedAddress parseSeed(const std::string &Text) {
+  const std::size_t Colon = Text.find(':');
+  SeedAddress Seed;
+  Seed.Address = Text.substr(0, Colon);
+  const char *End = Text.data() + Text.size();
+  const char *Start =
+      Colon == std::string::npos ? End : Text.data() + Colon + 1;
+  const auto [Rest, Failure] = std::from_chars(Start, End, Seed.Port);
+  if (Failure != std::errc() || Rest != End || Seed.Port < 1 ||
+      Seed.Port > MaxPort)
+    throw Common::Error(Common::ResultCode::SettingsWrongType,
+                        "[members] seeds: " + Text + " is not IP:port");
+  return Seed;
+}
+
+} // namespace
+
+const std::vector<Common::SettingRule> &nodeSettingRules() {
+  static const std::vector<Common::SettingRule> Rules = {
+      {"node", "name", SettingType::Text, {}, 0, 0, "unique name of the node"},
+      {"node",
+       "data-centre",
+       SettingType::Text,
+       {},
+       0,
+       0,
+       "data centre the VM stands in"},
+      {"node", "address", SettingType::Text, {}, 0, 0, "IP number of the VM"},
+      {"calls", "port", SettingType::Integer, "0", 0, MaxPort,
+       "HTTP port for callers; 0 takes a free one"},
+      {"calls", "body-limit", SettingType::Integer, "1048576", 1024, 8 << 20,
+       "largest body of a request, in bytes"},
+      {"peers", "port", SettingType::Integer, "0", 0, MaxPort,
+       "TCP port for other nodes"},
+      {"members",
+       "port",
+       SettingType::Integer,
+       {},
+       1,
+       MaxPort,
+       "UDP port for membership"},
+      {"members", "seeds", SettingType::Text, "", 0, 0,
+       "IP:port of some members, separated by spaces"},
+      {"members", "heartbeat-interval", SettingType::Time, "200ms", 10'000,
+       60 * Second, "time between heartbeats"},
+      {"members", "failure-limit", SettingType::Time, "1500ms", 50'000,
+       600 * Second, "silence after which a member counts as dead"},
+      {"members", "announcement-limit", SettingType::Time, "3s", 100'000,
+       600 * Second, "silence after which the backend server counts as gone"},
+      {"members", "leave-delay", SettingType::Time, "1s", 0, 60 * Second,
+       "time between telling that the node leaves and refusing calls"},
+      {"members", "drain-limit", SettingType::Time, "1h", Second,
+       86400 * Second, "longest wait for running calls at a stop"},
+      {"admin", "port", SettingType::Integer, "0", 0, MaxPort,
+       "HTTP port for operators and the backend server"},
+      {"log",
+       "url",
+       SettingType::Text,
+       {},
+       0,
+       0,
+       "platform log, http://IP:port"},
+      {"log", "stream", SettingType::Text, "config", 0, 0,
+       "stream of configuration records"},
+      {"log", "wait", SettingType::Time, "20s", 10'000, 300 * Second,
+       "how long one read waits at the log"},
+      {"output", "log-level", SettingType::Text, "info", 0, 0,
+       "trace, debug, info, warning, error, critical or off"},
+      {"output", "log-pattern", SettingType::Text,
+       "%Y-%m-%dT%H:%M:%S.%e %n %l %v", 0, 0, "spdlog pattern"},
+  };
+  return Rules;
+}
+
+NodeSettings readNodeSettings(const Common::Settings &From) {
+  NodeSettings Result;
+  Result.Name = From.text("node", "name");
+  Result.DataCentre = From.text("node", "data-centre");
+  Result.Address = From.text("node", "address");
+  Result.CallPort = static_cast<int>(From.integer("calls", "port"));
+  Result.BodyLimit =
+      static_cast<std::size_t>(From.integer("calls", "body-limit"));
+  Result.PeerPort = static_cast<int>(From.integer("peers", "port"));
+  Result.MemberPort = static_cast<int>(From.integer("members", "port"));
+  Result.AdminPort = static_cast<int>(From.integer("admin", "port"));
+  std::istringstream Seeds(From.text("members", "seeds"));
+  for (std::string Seed; Seeds >> Seed;)
+    Result.Seeds.push_back(parseSeed(Seed));
+  Result.HeartbeatInterval = From.time("members", "heartbeat-interval");
+  Result.FailureLimit = From.time("members", "failure-limit");
+  Result.AnnouncementLimit = From.time("members", "announcement-limit");
+  Result.LeaveDelay = From.time("members", "leave-delay");
+  Result.DrainLimit = From.time("members", "drain-limit");
+  Result.LogUrl = From.text("log", "url");
+  Result.LogStream = From.text("log", "stream");
+  Result.LogWait = From.time("log", "wait");
+  return Result;
+}
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Operator/SyncHttp.cpp
@@ -0,0 +1,55 @@
+#include "Operator/SyncHttp.h"
+
+#include <future>
+
+namespace Operator {
+
+SyncHttp::SyncHttp() : Worker("transfers") {
+  Worker.spawn();
+  Worker.runAndWait(
+      [this] { Transport = std::make_unique<Http::Client>(Worker); });
+}
+
+SyncHttp::~SyncHttp() {
+  Worker.runAndWait([this] { Transport.reset(); });
+}
+
+Http::ClientResult SyncHttp::send(Http::ClientRequest Asked) {
+  std::promise<Http::ClientResult> Answer;
+  Worker.post([&] {
+    Transport->send(std::move(Asked), [&](Http::ClientResult Result) {
+      Answer.set_value(std::move(Result));
+    });
+  });
+  return Answer.get_future().get();
+}
+
+Platform::AppendResult SyncHttp::append(const std::string &LogUrl,
+                                        const std::string &Stream,
+                                        const std::string &Content,
+                                        Common::Micros Limit) {
+  std::promise<Platform::AppendResult> Answer;
+  Worker.post([&] {
+    Platform::LogClient(*Transport, LogUrl)
+        .append(Stream, Content, Limit, [&](Platform::AppendResult Result) {
+          Answer.set_value(std::move(Result));
+        });
+  });
+  return Answer.get_future().get();
+}
+
+Platform::ReadResult SyncHttp::read(const std::string &LogUrl,
+                                    const std::string &Stream,
+                                    Platform::Offset From,
+                                    Common::Micros Wait) {
+  std::promise<Platform::ReadResult> Answer;
+  Worker.post([&] {
+    Platform::LogClient(*Transport, LogUrl)
+        .read(Stream, From, Wait, [&](Platform::ReadResult Result) {
+          Answer.set_value(std::move(Result));
+        });
+  });
+  return Answer.get_future().get();
+}
+
+} // namespace Operator
--- /dev/null
+++ b/Source/Core/Routing/Call.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "Common/ResultCode.h"
+#include "Common/Time.h"
+
+namespace Routing {
+
+// Names one attempt of a call; unique among the attempts of one near node.
+using AttemptId = std::int64_t;
+// Names a call for as long as its near node works on it.
+using CallId = std::int64_t;
+// "IP:port" of a node's peer socket.
+using NodeAddress = std::string;
+
+// A request on its way from a near node to a far node.
+struct CallRequest {
+  AttemptId Attempt = 0;
+  std::string Service;
+  std::string Kind;
+  std::string Method;
+  std::string Target;
+  std::string Body;
+  std::map<std::string, std::string> Fields;
+  // Clocks differ between VMs, so the time left travels, not a point in time.
+  Common::Micros Remaining{0};
+  // How often calls further down the chain may still be tried again.
+  int AttemptsLeft = 1;
+  bool LongLane = false;
+  bool Idempotent = true;
+  std::string CorrelationId;
+  std::string Caller;
+  std::int64_t ConfigVersion = 0;
+};
+
+// What the far node knows of its backend server, sent with each answer.
+struct ServerLoad {
+  int Queued = 0;
+  int BusySlots = 0;
+  int Slots = 0;
+};
+
+struct CallReply {
+  AttemptId Attempt = 0;
+  Common::ResultCode Result = Common::ResultCode::Ok;
+  int HttpStatus = 0;
+  std::string Body;
+  std::map<std::string, std::string> Fields;
+  ServerLoad Load;
+  Common::Micros QueueTime{0};
+  Common::Micros ServiceTime{0};
+  std::string Server;
+};
+
+} // namespace Routing
--- /dev/null
+++ b/Source/Core/Routing/ServerView.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Routing/Call.h"
+
+namespace Routing {
+
+// A live backend server as the near side sees it.
+struct ServerEntry {
+  std::string Server;
+  NodeAddress Node;
+  std::string DataCentre;
+  int Slots = 1;
+
+  bool operator==(const ServerEntry &) const = default;
+};
+
+// The live servers of each service; replaced whole when members change.
+struct ServerView {
+  std::map<std::string, std::vector<ServerEntry>> ByService;
+
+  bool operator==(const ServerView &) const = default;
+};
+
+using ServerViewPtr = std::shared_ptr<const ServerView>;
+
+} // namespace Routing
