--- /dev/null
+++ b/Source/Programs/zinnia-node/Main.cpp
@@ -0,0 +1,52 @@
+#include <cstdio>
+
+#include <spdlog/spdlog.h>
+
+#include "Common/CommandLine.h"
+#include "Common/Error.h"
+#include "Common/Log.h"
+#include "Node/NodeBuilder.h"
+
+namespace {
+
+Common::Settings readSettings(const std::string &File) {
+  Common::SettingsBuilder Builder;
+  Builder.rules(Node::nodeSettingRules()).input(File, Common::readFile(File));
+  for (const Common::Fault &Each : Builder.faults())
+    std::fprintf(stderr, "%s\n", Each.text().c_str());
+  return Builder.build();
+}
+
+int runNode(int Count, const char **Words) {
+  std::string File;
+  bool OnlyCheck = false;
+  const auto Rest = Common::CommandLine("zinnia-node", "--settings FILE")
+                        .option("settings", "FILE", "Settings (INI)", File)
+                        .flag("check-settings",
+                              "Check the settings and do not start", OnlyCheck)
+                        .parse(Count, Words);
+  if (File.empty() || !Rest.empty())
+    throw Common::Error(Common::ResultCode::UsageError,
+                        "wanted is --settings FILE and no more");
+  const Common::Settings Read = readSettings(File);
+  const Node::NodeSettings Settings = Node::readNodeSettings(Read);
+  Common::startLog(Settings.Name, Read.text("output", "log-level"),
+                   Read.text("output", "log-pattern"));
+  if (OnlyCheck) {
+    std::printf("%s: settings are sound\n", File.c_str());
+    return 0;
+  }
+  Kernel::Host Running = Node::NodeBuilder().settings(Settings).build();
+  Running.start();
+  spdlog::info("node {} in {} started", Settings.Name, Settings.DataCentre);
+  Running.waitForStopSignal();
+  Running.stop(Settings.DrainLimit);
+  spdlog::info("node {} stopped", Settings.Name);
+  return 0;
+}
+
+} // namespace
+
+int main(int Count, const char **Words) {
+  return Common::runProgram("zinnia-node", runNode, Count, Words);
+}
--- /dev/null
+++ b/Source/StandIns/Backend/BackendServer.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <variant>
+
+#include "Http/Client.h"
+#include "Http/Server.h"
+#include "Kernel/Host.h"
+
+namespace StandIns {
+
+struct BackendOptions {
+  std::string Name;
+  std::string Service;
+  std::string Address = "127.0.0.1";
+  int Port = 0;
+  int Slots = 6;
+  // "IP:port" of the admin socket of the node beside it; may be empty.
+  std::string NodeAdmin;
+  // Mean time of work for a request; it varies around it.
+  Common::Micros Work{0};
+};
+
+// Faults and slowness that tests and experiments switch on.
+struct BackendFaults {
+  // Work takes this many times as long.
+  int SlowFactor = 1;
+  bool Shed = false;
+  // Stops announcing itself, as a server does that leaves or hangs.
+  bool Silent = false;
+};
+
+struct SetBackendFaults {
+  BackendFaults Wanted;
+};
+
+// A backend server over HTTP. Its answers name the request they belong to, and
+// its ledger tells how often each request ran:
+//   any request with ?id=ID      works, then answers "id=ID server=NAME"
+//   GET  /standin/ledger         lines of "ID runs"
+//   POST /standin/faults         INI: [faults] slow-factor, shed, silent
+// A request may ask for its own work time by ?work-us=N.
+class BackendServer {
+public:
+  using Message = std::variant<SetBackendFaults>;
+
+  BackendServer(Kernel::Context Around, BackendOptions Options);
+
+  void start();
+  void handle(const Message &Content);
+  void stop();
+
+private:
+  void takeRequest(Http::ExchangeId Id, const Http::Request &Asked);
+  void begin(Http::ExchangeId Id, const Http::Request &Asked);
+  void finish(Http::ExchangeId Id, const std::string &CallerId);
+  void announce();
+  Common::Micros workTime(const std::string &Target);
+  Http::Response setFaults(const std::string &Body);
+  std::string ledgerText() const;
+
+  struct WaitingRequest {
+    Http::ExchangeId Exchange = 0;
+    Http::Request Asked;
+  };
+
+  Kernel::Task &Home;
+  BackendOptions Options;
+  BackendFaults Faults;
+  std::mt19937_64 Random;
+  std::unique_ptr<Http::Server> Listener;
+  std::unique_ptr<Http::Client> ToNode;
+  std::map<std::string, int> Ledger;
+  std::deque<WaitingRequest> Waiting;
+  int Busy = 0;
+};
+
+} // namespace StandIns
--- /dev/null
+++ b/Source/StandIns/Log/LogStore.cpp
@@ -0,0 +1,48 @@
+#include "StandIns/Log/LogStore.h"
+
+namespace StandIns {
+
+using Platform::Offset;
+
+Offset LogStore::append(const std::string &Stream, std::string Content,
+                        Common::WallTime Now) {
+  StreamState &State = Streams[Stream];
+  State.Records.push_back({State.Next, Now, std::move(Content)});
+  return State.Next++;
+}
+
+void LogStore::expire(Common::WallTime Now) {
+  for (auto &[Name, State] : Streams)
+    while (!State.Records.empty() &&
+           State.Records.front().Appended + Retention <= Now)
+      State.Records.pop_front();
+}
+
+std::vector<Platform::LogRecord> LogStore::read(const std::string &Stream,
+                                                Offset From,
+                                                std::size_t Limit) const {
+  std::vector<Platform::LogRecord> Result;
+  const auto Found = Streams.find(Stream);
+  if (Found == Streams.end())
+    return Result;
+  for (const Platform::LogRecord &Each : Found->second.Records) {
+    if (Each.At >= From && Result.size() < Limit)
+      Result.push_back(Each);
+  }
+  return Result;
+}
+
+Offset LogStore::first(const std::string &Stream) const {
+  const auto Found = Streams.find(Stream);
+  if (Found == Streams.end())
+    return 1;
+  const StreamState &State = Found->second;
+  return State.Records.empty() ? State.Next : State.Records.front().At;
+}
+
+Offset LogStore::next(const std::string &Stream) const {
+  const auto Found = Streams.find(Stream);
+  return Found == Streams.end() ? 1 : Found->second.Next;
+}
+
+} // namespace StandIns
--- /dev/null
+++ b/Tools/demo.sh
@@ -0,0 +1,86 @@
+#!/usr/bin/env bash
+# Builds the project and shows it at work on loopback: two data centres with
+# three VMs each (a node beside a backend server), the log stand-in, Ashcombe's
+# set, calls, and a change of route while calls run.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Tools/build.sh >/dev/null
+Bin=$PWD/build/release/bin
+Run=$(mktemp -d)
+source Tools/cluster.sh
+trap 'end_all; rm -rf "$Run"' EXIT
+
+Nodes=(leicester-1 leicester-2 leicester-3 derby-1 derby-2 derby-3)
+Services=(price-catalogue price-catalogue trade-in-credit
+  price-catalogue price-catalogue trade-in-credit)
+read -ra Ports <<<"$(free_ports 31)"
+LogPort=${Ports[30]}
+Seeds="127.0.0.1:${Ports[2]} 127.0.0.1:${Ports[17]}"
+
+start_log "$LogPort"
+Admin=() Calls=() Ledgers=()
+for I in "${!Nodes[@]}"; do
+  P=$((I * 5))
+  Name=${Nodes[$I]}
+  start_node "$Name" "${Name%-*}" "${Ports[$P]}" "${Ports[$((P + 1))]}" \
+    "${Ports[$((P + 2))]}" "${Ports[$((P + 3))]}" "$Seeds" "$LogPort"
+  start_backend "server-$Name" "${Services[$I]}" "${Ports[$((P + 4))]}" 6 \
+    "${Ports[$((P + 3))]}" 2ms
+  Admin+=("127.0.0.1:${Ports[$((P + 3))]}")
+  Calls+=("--target" "127.0.0.1:${Ports[$P]}")
+  Ledgers+=("--ledger" "127.0.0.1:${Ports[$((P + 4))]}")
+done
+
+# Succeeds when every node has the version in force.
+all_at_version() {
+  local Each
+  for Each in "${Admin[@]}"; do
+    curl -sf "http://$Each/v1/status" | grep -qx "version = $1" || return 1
+  done
+}
+# Succeeds when every node knows all six backend servers.
+all_see_servers() {
+  local Each
+  for Each in "${Admin[@]}"; do
+    [ "$(curl -sf "http://$Each/v1/status" | grep -c '^server-')" -eq 6 ] ||
+      return 1
+  done
+}
+publish() { # PATH...
+  local Out Start
+  Start=$(date +%s%6N)
+  Out=$("$Bin/zinniactl" --log "http://127.0.0.1:$LogPort" \
+    --author demo publish "$@")
+  Version=${Out##* }
+  wait_until 10 all_at_version "$Version"
+  echo "version $Version is in force on ${#Nodes[@]} nodes:"
+  local I
+  for I in "${!Nodes[@]}"; do
+    local Since
+    Since=$(curl -sf "http://${Admin[$I]}/v1/status" |
+      sed -n 's/^in-force-since-us = //p')
+    echo "  ${Nodes[$I]}: $(((Since - Start) / 1000)) ms after publishing began"
+  done
+}
+
+wait_until 20 all_see_servers
+echo "--- publish Ashcombe's set"
+publish Data/Ashcombe/set
+
+echo "--- 600 calls through all nodes; the price route changes meanwhile"
+"$Bin/zinnia-load" "${Calls[@]}" --path /prices/base-set --rate 100 \
+  --length 6s --id-prefix demo- "${Ledgers[@]}" >"$Run/load.txt" &
+LoadPid=$!
+cp -r Data/Ashcombe/set "$Run/set"
+sed -i '/^\[route prices\]/,/^$/ s/^service = .*/service = trade-in-credit/' \
+  "$Run/set/routes.ini"
+sleep 2
+publish "$Run/set"
+wait "$LoadPid"
+cat "$Run/load.txt"
+
+Sent=$(sed -n 's/^sent //p' "$Run/load.txt")
+Served=$(sed -n 's/^served //p' "$Run/load.txt")
+Doubled=$(sed -n 's/^doubled //p' "$Run/load.txt")
+echo "--- lost $((Sent - Served)), doubled $Doubled"
+[ "$Sent" -eq "$Served" ] && [ "$Doubled" -eq 0 ]
