--- /dev/null
+++ b/Source/UnitTests/Node/CallResponseTests.cpp
@@ -0,0 +1,54 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Node/CallResponse.h"
+
+BOOST_AUTO_TEST_SUITE(CallResponses)
+
+BOOST_AUTO_TEST_CASE(PassesTheServersAnswerOn) {
+  Routing::CallReply Reply;
+  Reply.HttpStatus = 404;
+  Reply.Body = "none";
+  Reply.Fields = {{"content-type", "text/x"}, {"connection", "close"}};
+  Reply.Server = "s1";
+  const Http::Response Got = Node::toResponse(Reply, 2, "c-1");
+  BOOST_TEST(Got.Status == 404);
+  BOOST_TEST(Got.Body == "none");
+  BOOST_TEST(Got.Fields.at("content-type") == "text/x");
+  BOOST_TEST(!Got.Fields.contains("connection"));
+  BOOST_TEST(Got.Fields.at("x-zinnia-result") == "0");
+  BOOST_TEST(Got.Fields.at("x-zinnia-attempts") == "2");
+}
+
+BOOST_AUTO_TEST_CASE(TellsNotRunFromUnknown) {
+  Routing::CallReply Reply;
+  Reply.Result = Common::ResultCode::QueueFull;
+  BOOST_TEST(Node::toResponse(Reply, 1, "").Status == 503);
+  Reply.Result = Common::ResultCode::ConnectionLost;
+  BOOST_TEST(Node::toResponse(Reply, 1, "").Status == 504);
+  Reply.Result = Common::ResultCode::NoRoute;
+  BOOST_TEST(Node::toResponse(Reply, 1, "").Status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsTheLimitsOfTheCaller) {
+  Http::Request Asked;
+  Asked.Fields = {{"x-deadline-ms", "250"},
+                  {"x-attempts-left", "1"},
+                  {"x-correlation-id", "abc"},
+                  {"host", "h"}};
+  const auto Start = Node::toCallStart(7, Asked, "fresh");
+  BOOST_TEST(Start.Limit->count() == 250'000);
+  BOOST_TEST(*Start.AttemptsLeft == 1);
+  BOOST_TEST(Start.CorrelationId == "abc");
+  BOOST_TEST(!Start.Fields.contains("host"));
+}
+
+BOOST_AUTO_TEST_CASE(IgnoresLimitsThatAreNoNumbers) {
+  Http::Request Asked;
+  Asked.Fields = {{"x-deadline-ms", "soon"}, {"x-attempts-left", "-4"}};
+  const auto Start = Node::toCallStart(7, Asked, "fresh");
+  BOOST_TEST(!Start.Limit.has_value());
+  BOOST_TEST(!Start.AttemptsLeft.has_value());
+  BOOST_TEST(Start.CorrelationId == "fresh");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Routing/DispatcherTests.cpp
@@ -0,0 +1,150 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Config/ObjectSetBuilder.h"
+#include "Routing/Dispatcher.h"
+
+BOOST_AUTO_TEST_SUITE(Dispatchers)
+
+namespace {
+
+using Common::Millis;
+using Common::ResultCode;
+using namespace Routing;
+
+Config::ObjectSetPtr sampleSet() {
+  return Config::ObjectSetBuilder()
+      .input("f", "[service s]\n[service spare]\n[service t]\n"
+                  "fallback = spare\n"
+                  "[retry r]\nattempts = 3\n"
+                  "[kind read]\nidempotent = yes\ndeadline = 1s\nretry = r\n"
+                  "[kind write]\nidempotent = no\ndeadline = 1s\nretry = r\n"
+                  "[route a]\nprefix = /read\nservice = s\nkind = read\n"
+                  "[route b]\nprefix = /write\nservice = s\nkind = write\n"
+                  "[route c]\nprefix = /t\nservice = t\nkind = read\n")
+      .build();
+}
+
+struct Fixture {
+  Dispatcher<RoundRobinChoice> Calls{"here", RoundRobinChoice()};
+  Common::SteadyTime Now = Common::SteadyTime(Millis(1000));
+
+  Fixture() {
+    Calls.useSet(5, sampleSet());
+    auto View = std::make_shared<ServerView>();
+    View->ByService["s"] = {{"s1", "10.0.0.1:1", "here", 6},
+                            {"s2", "10.0.0.2:1", "here", 6},
+                            {"s3", "10.0.0.3:1", "there", 6}};
+    View->ByService["spare"] = {{"p1", "10.0.0.4:1", "here", 6}};
+    Calls.useServers(View);
+  }
+
+  DispatchActions begin(CallId Id, const std::string &Path) {
+    CallStart Start;
+    Start.Call = Id;
+    Start.Method = "GET";
+    Start.Path = Path;
+    Start.Target = Path;
+    return Calls.begin(std::move(Start), Now);
+  }
+  DispatchActions answer(AttemptId Id, ResultCode Code) {
+    CallReply Reply;
+    Reply.Attempt = Id;
+    Reply.Result = Code;
+    return Calls.reply(Reply, Now);
+  }
+};
+
+const SendAttempt &sent(const DispatchActions &Actions) {
+  BOOST_REQUIRE_EQUAL(Actions.size(), 1);
+  BOOST_REQUIRE(std::holds_alternative<SendAttempt>(Actions[0]));
+  return std::get<SendAttempt>(Actions[0]);
+}
+
+const AnswerCaller &answered(const DispatchActions &Actions) {
+  BOOST_REQUIRE(!Actions.empty());
+  BOOST_REQUIRE(std::holds_alternative<AnswerCaller>(Actions.back()));
+  return std::get<AnswerCaller>(Actions.back());
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(AnswersTheCallItsOwnReply, Fixture) {
+  const auto First = sent(begin(1, "/read"));
+  const auto Second = sent(begin(2, "/read"));
+  BOOST_TEST(answered(answer(Second.Request.Attempt, ResultCode::Ok)).Call ==
+             2);
+  BOOST_TEST(answered(answer(First.Request.Attempt, ResultCode::Ok)).Call == 1);
+  BOOST_TEST(Calls.openCalls() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(DropsAReplyThatComesTwice, Fixture) {
+  const auto First = sent(begin(1, "/read"));
+  answer(First.Request.Attempt, ResultCode::Ok);
+  BOOST_TEST(answer(First.Request.Attempt, ResultCode::Ok).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(TriesAnotherServerWhenNotRun, Fixture) {
+  const auto First = sent(begin(1, "/write"));
+  const auto Second =
+      sent(answer(First.Request.Attempt, ResultCode::QueueFull));
+  BOOST_TEST(Second.Node != First.Node);
+}
+
+BOOST_FIXTURE_TEST_CASE(NeverTriesAgainWhatMayHaveRun, Fixture) {
+  const auto First = sent(begin(1, "/write"));
+  const auto Ended =
+      answered(answer(First.Request.Attempt, ResultCode::OutcomeUnknown));
+  BOOST_TEST((Ended.Reply.Result == ResultCode::OutcomeUnknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(MovesIdempotentCallsOffALostConnection, Fixture) {
+  const auto Read = sent(begin(1, "/read"));
+  const auto Moved = sent(Calls.connectionLost(Read.Node, Now));
+  BOOST_TEST(Moved.Node != Read.Node);
+  // The lost attempt's answer, should it still come, belongs to nobody.
+  BOOST_TEST(answer(Read.Request.Attempt, ResultCode::Ok).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(StopsAtTheAttemptsOfTheRule, Fixture) {
+  auto Last = sent(begin(1, "/read"));
+  Last = sent(answer(Last.Request.Attempt, ResultCode::QueueFull));
+  Last = sent(answer(Last.Request.Attempt, ResultCode::QueueFull));
+  const auto Ended =
+      answered(answer(Last.Request.Attempt, ResultCode::QueueFull));
+  BOOST_TEST((Ended.Reply.Result == ResultCode::QueueFull));
+  BOOST_TEST(Ended.Attempts == 3);
+}
+
+BOOST_FIXTURE_TEST_CASE(EndsAtTheDeadlineAndCancels, Fixture) {
+  const auto First = sent(begin(1, "/read"));
+  BOOST_TEST((Calls.nextDeadline() == Now + Millis(1000)));
+  const auto Actions = Calls.expire(Now + Millis(1000));
+  BOOST_REQUIRE_EQUAL(Actions.size(), 2);
+  BOOST_TEST(std::get<CancelAttempt>(Actions[0]).Attempt ==
+             First.Request.Attempt);
+  BOOST_TEST((answered(Actions).Reply.Result == ResultCode::DeadlinePassed));
+}
+
+BOOST_FIXTURE_TEST_CASE(UsesTheFallbackService, Fixture) {
+  BOOST_TEST(sent(begin(1, "/t")).Node == "10.0.0.4:1");
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusesWithoutRouteOrSet, Fixture) {
+  BOOST_TEST((answered(begin(1, "/none")).Reply.Result == ResultCode::NoRoute));
+  Dispatcher<RoundRobinChoice> Fresh("here", RoundRobinChoice());
+  CallStart Start;
+  Start.Call = 1;
+  const auto Refused = answered(Fresh.begin(std::move(Start), Now));
+  BOOST_TEST((Refused.Reply.Result == ResultCode::NoConfiguration));
+}
+
+BOOST_FIXTURE_TEST_CASE(KeepsTheSetTheCallBeganWith, Fixture) {
+  const auto First = sent(begin(1, "/read"));
+  Calls.useSet(6,
+               Config::ObjectSetBuilder().input("f", "[service z]\n").build());
+  const auto Second =
+      sent(answer(First.Request.Attempt, ResultCode::QueueFull));
+  BOOST_TEST(Second.Request.ConfigVersion == 5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Wire/CodecTests.cpp
@@ -0,0 +1,79 @@
+#include <random>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Common/Error.h"
+#include "Wire/Codec.h"
+
+BOOST_AUTO_TEST_SUITE(Codecs)
+
+namespace {
+
+Routing::CallRequest sampleRequest() {
+  Routing::CallRequest Result;
+  Result.Attempt = 1LL << 40;
+  Result.Service = "s";
+  Result.Target = "/a?b";
+  Result.Body = std::string("\0\xff", 2);
+  Result.Fields = {{"a", "b"}};
+  Result.Remaining = Common::Micros(1234567);
+  Result.AttemptsLeft = 2;
+  Result.LongLane = true;
+  Result.Idempotent = false;
+  return Result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(FramesReadBackTheSame) {
+  const auto Request = std::get<Routing::CallRequest>(
+      Wire::decodeFrame(Wire::encodeFrame(sampleRequest())));
+  BOOST_TEST(Request.Attempt == 1LL << 40);
+  BOOST_TEST(Request.Body == sampleRequest().Body);
+  BOOST_TEST(Request.Fields.at("a") == "b");
+  BOOST_TEST(Request.Remaining.count() == 1234567);
+  BOOST_TEST(Request.LongLane);
+  BOOST_TEST(!Request.Idempotent);
+
+  const auto Echo = std::get<Wire::Echo>(
+      Wire::decodeFrame(Wire::encodeFrame(Wire::Echo{7, true})));
+  BOOST_TEST(Echo.Sequence == 7);
+  BOOST_TEST(Echo.IsAnswer);
+}
+
+BOOST_AUTO_TEST_CASE(RecordsReadBackTheSameAndNotDamaged) {
+  Config::Record Proposal;
+  Proposal.Id = "id";
+  Proposal.Base = 5;
+  Proposal.SetText = "[service s]\n";
+  const std::string Bytes = Wire::encodeRecord(Proposal);
+  BOOST_TEST(Wire::decodeRecord(Bytes).SetText == Proposal.SetText);
+  BOOST_CHECK_THROW(Wire::decodeRecord(Bytes.substr(0, Bytes.size() / 2)),
+                    Common::Error);
+}
+
+// Bytes from outside must end in a frame or in an Error, never otherwise.
+BOOST_AUTO_TEST_CASE(MutatedAndRandomBytesEndInAnError) {
+  std::mt19937_64 Random(20261204);
+  const std::string Sound = Wire::encodeFrame(sampleRequest());
+  for (int Round = 0; Round < 20000; ++Round) {
+    std::string Bytes = Sound;
+    if (Round % 2 == 0)
+      Bytes.resize(Random() % 100);
+    for (std::size_t Change = 0; Change <= Random() % 8; ++Change)
+      if (!Bytes.empty())
+        Bytes[Random() % Bytes.size()] = static_cast<char>(Random());
+    try {
+      Wire::decodeFrame(Bytes);
+    } catch (const Common::Error &Failure) {
+      BOOST_REQUIRE((Failure.code() == Common::ResultCode::FrameMalformed));
+    }
+    try {
+      Wire::decodeRecord(Bytes);
+    } catch (const Common::Error &Failure) {
+      BOOST_REQUIRE((Failure.code() == Common::ResultCode::RecordMalformed));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
