--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -88,6 +88,7 @@
   static int onTimer(CURLM *Multi, long DelayMillis, void *User);
 
   Kernel::Task &Home;
+  Kernel::Timers Clock{Home};
   CURLM *Multi = nullptr;
   std::unordered_map<curl_socket_t, std::unique_ptr<Kernel::SocketWatch>>
       Watches;
@@ -118,7 +119,7 @@
   curl_multi_cleanup(Multi);
   Watches.clear();
   if (Timer)
-    Home.cancel(*Timer);
+    Clock.cancel(*Timer);
 }
 
 int Client::Impl::onSocket(CURL *Handle, curl_socket_t Socket, int What,
@@ -153,7 +154,7 @@
   (void)Multi;
   auto &Self = *static_cast<Impl *>(User);
   if (Self.Timer)
-    Self.Home.cancel(*Self.Timer);
+    Self.Clock.cancel(*Self.Timer);
   Self.Timer.reset();
   if (DelayMillis < 0)
     return 0;
@@ -166,7 +167,7 @@
     });
     return 0;
   }
-  Self.Timer = Self.Home.after(Common::Millis(DelayMillis), [&Self] {
+  Self.Timer = Self.Clock.after(Common::Millis(DelayMillis), [&Self] {
     Self.Timer.reset();
     Self.act(CURL_SOCKET_TIMEOUT, 0);
   });
--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -83,6 +83,7 @@
                               void **State, MHD_RequestTerminationCode Why);
 
   Kernel::Task &Home;
+  Kernel::Timers Clock{Home};
   std::size_t BodyLimit = 0;
   std::function<void(ExchangeId, Request)> OnRequest;
   MHD_Daemon *Daemon = nullptr;
@@ -100,7 +101,7 @@
   *Alive = false;
   Watch.reset();
   if (Timer)
-    Home.cancel(*Timer);
+    Clock.cancel(*Timer);
   // The daemon must not be stopped while a connection is suspended.
   for (const auto &[Id, Each] : Open) {
     if (!Each->Suspended)
@@ -119,14 +120,14 @@
   MHD_run(Daemon);
   MHD_UNSIGNED_LONG_LONG Wait = 0;
   if (Timer)
-    Home.cancel(*Timer);
+    Clock.cancel(*Timer);
   Timer.reset();
   if (MHD_get_timeout(Daemon, &Wait) != MHD_YES)
     return;
   if (Wait == 0)
     scheduleRun();
   else
-    Timer = Home.after(Common::Millis(Wait), [this] {
+    Timer = Clock.after(Common::Millis(Wait), [this] {
       Timer.reset();
       run();
     });
--- a/Source/Core/Kernel/Task.cpp
+++ b/Source/Core/Kernel/Task.cpp
@@ -253,6 +253,26 @@
   Self->DueTimes.erase(Found);
 }
 
+Timers::~Timers() {
+  for (const auto &[Key, Id] : Pending)
+    Home.cancel(Id);
+}
+
+TimerId Timers::after(Duration Delay, Job Work) {
+  const TimerId Key = NextKey++;
+  Pending[Key] = Home.after(Delay, [this, Key, Due = std::move(Work)] {
+    Pending.erase(Key);
+    Due();
+  });
+  return Key;
+}
+
+void Timers::cancel(TimerId Timer) {
+  const auto Node = Pending.extract(Timer);
+  if (!Node.empty())
+    Home.cancel(Node.mapped());
+}
+
 std::unique_ptr<SocketWatch>
 Task::watch(int Fd, IoReadiness Interest,
             std::function<void(IoReadiness)> OnReady) {
--- a/Source/Core/Kernel/Task.h
+++ b/Source/Core/Kernel/Task.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <unordered_map>
 
 #include "Common/Time.h"
 
@@ -19,6 +20,7 @@
 };
 
 class SocketWatch;
+class Timers;
 
 // A thread that owns sockets, timers and mail and waits for all three in one
 // place. Services live on a task and run only on its thread.
@@ -45,18 +47,39 @@
   void join();
 
   // The calls below are for the task's own thread alone.
-  TimerId after(Common::Duration Delay, Job Work);
-  void cancel(TimerId Timer);
   [[nodiscard]] std::unique_ptr<SocketWatch>
   watch(int Fd, IoReadiness Interest, std::function<void(IoReadiness)> OnReady);
 
 private:
   friend class SocketWatch;
+  friend class Timers;
+  TimerId after(Common::Duration Delay, Job Work);
+  void cancel(TimerId Timer);
+
   struct Impl;
   std::unique_ptr<Impl> Self;
   std::thread Thread;
 };
 
+// The timers of one owner. They end with it, so that none can reach an owner
+// that is gone. For the task's own thread alone.
+class Timers {
+public:
+  explicit Timers(Task &Home) : Home(Home) {}
+  ~Timers();
+  Timers(const Timers &) = delete;
+  Timers &operator=(const Timers &) = delete;
+
+  TimerId after(Common::Duration Delay, Job Work);
+  // A timer that has fired or was cancelled is ignored.
+  void cancel(TimerId Timer);
+
+private:
+  Task &Home;
+  std::unordered_map<TimerId, TimerId> Pending;
+  TimerId NextKey = 1;
+};
+
 // Watches one socket for as long as it lives.
 class SocketWatch {
 public:
--- a/Source/Core/Membership/Member.h
+++ b/Source/Core/Membership/Member.h
@@ -26,6 +26,7 @@
   std::string Address;
   int PeerPort = 0;
   int MemberPort = 0;
+  int ControlPort = 0;
   std::int64_t Incarnation = 0;
   Health State = Health::Alive;
   std::vector<Endpoint> Endpoints;
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -200,7 +200,7 @@
   void armExpiry() {
     if (Timer || Queue.load().Queued == 0)
       return;
-    Timer = Home.after(Common::Millis(10), [this] {
+    Timer = Clock.after(Common::Millis(10), [this] {
       Timer.reset();
       act(Queue.expire(now()));
       armExpiry();
@@ -210,10 +210,11 @@
   void finishDrain() {
     if (OnDrained && Queue.isIdle())
       // The answers still have to leave through the sockets.
-      Home.after(Common::Millis(200), std::exchange(OnDrained, nullptr));
+      Clock.after(Common::Millis(200), std::exchange(OnDrained, nullptr));
   }
 
   Kernel::Task &Home;
+  Kernel::Timers Clock{Home};
   NodeSettings Settings;
   std::function<Peers()> FindPeers;
   Peers ToPeers;
--- a/Source/Core/Node/ConfigService.h
+++ b/Source/Core/Node/ConfigService.h
@@ -39,6 +39,7 @@
     read();
   }
 
+  // Nodes do not pass configuration on to one another yet.
   void handle(const Message &Content) { (void)Content; }
 
   void stop() {
@@ -58,7 +59,7 @@
                    Result.Detail);
       // Jitter keeps a herd of nodes from returning in step.
       std::uniform_int_distribution<int> Delay(100, 1000);
-      Home.after(Common::Millis(Delay(Random)), [this] { read(); });
+      Clock.after(Common::Millis(Delay(Random)), [this] { read(); });
       return;
     }
     for (const Platform::LogRecord &Each : Result.Records)
@@ -86,6 +87,7 @@
   }
 
   Kernel::Task &Home;
+  Kernel::Timers Clock{Home};
   NodeSettings Settings;
   Sinks Targets;
   std::mt19937_64 Random;
--- a/Source/Core/Node/FrontService.h
+++ b/Source/Core/Node/FrontService.h
@@ -126,9 +126,9 @@
     if (!Next || (Timer && ArmedFor <= *Next))
       return;
     if (Timer)
-      Home.cancel(*Timer);
+      Clock.cancel(*Timer);
     ArmedFor = *Next;
-    Timer = Home.after(*Next - now(), [this] {
+    Timer = Clock.after(*Next - now(), [this] {
       Timer.reset();
       act(Calls.expire(now()));
       armDeadline();
@@ -139,10 +139,11 @@
     if (!OnDrained || Calls.openCalls() > 0)
       return;
     // The answers still have to leave through the sockets.
-    Home.after(Common::Millis(200), std::exchange(OnDrained, nullptr));
+    Clock.after(Common::Millis(200), std::exchange(OnDrained, nullptr));
   }
 
   Kernel::Task &Home;
+  Kernel::Timers Clock{Home};
   NodeSettings Settings;
   Sinks Targets;
   Routing::Dispatcher<Policy> Calls;
--- a/Source/Core/Node/MembersService.h
+++ b/Source/Core/Node/MembersService.h
@@ -18,6 +18,7 @@
 // Keeps the table of members by heartbeats over UDP, and tells the near side
 // which backend servers are live.
 template <Kernel::MessageSink<FrontMessage> Front,
+          Kernel::MessageSink<ConfigMessage> Config,
           Kernel::MessageSink<AdminMessage> Admin>
 class MembersService {
 public:
@@ -25,6 +26,7 @@
 
   struct Sinks {
     Front ToFront;
+    Config ToConfig;
     Admin ToAdmin;
   };
 
@@ -51,7 +53,7 @@
     Table.leave();
     sendAll();
     publish();
-    Home.after(Settings.LeaveDelay, std::move(Done));
+    Clock.after(Settings.LeaveDelay, std::move(Done));
   }
 
   void stop() { Socket.reset(); }
@@ -64,6 +66,7 @@
     Self.Address = Settings.Address;
     Self.PeerPort = Settings.PeerPort;
     Self.MemberPort = Settings.MemberPort;
+    Self.ControlPort = Settings.ControlPort;
     // A process that takes the place of another must be the newer one.
     Self.Incarnation = std::chrono::duration_cast<Common::Micros>(
                            std::chrono::system_clock::now().time_since_epoch())
@@ -82,8 +85,8 @@
     if (Own.empty() || !(Own.front() == Part.Server))
       Table.announce(Part.Server);
     if (Lease)
-      Home.cancel(*Lease);
-    Lease = Home.after(Settings.AnnouncementLimit, [this] {
+      Clock.cancel(*Lease);
+    Lease = Clock.after(Settings.AnnouncementLimit, [this] {
       Lease.reset();
       withdraw("fell silent");
     });
@@ -120,7 +123,7 @@
     Table.expire(now());
     sendAll();
     publish();
-    Home.after(Settings.HeartbeatInterval, [this] { beat(); });
+    Clock.after(Settings.HeartbeatInterval, [this] { beat(); });
   }
 
   void sendAll() {
@@ -142,6 +145,23 @@
   }
 
   void publish() {
+    publishMembers();
+    publishServers();
+  }
+
+  void publishMembers() {
+    auto Alive = std::make_shared<std::vector<Membership::Member>>();
+    Alive->push_back(Table.self());
+    for (const Membership::Member &Each : Table.others())
+      if (Each.State == Membership::Health::Alive)
+        Alive->push_back(Each);
+    if (PublishedMembers && *PublishedMembers == *Alive)
+      return;
+    PublishedMembers = Alive;
+    Targets.ToConfig.post(MembersChanged{PublishedMembers});
+  }
+
+  void publishServers() {
     Routing::ServerViewPtr Servers = Table.servers();
     if (Published && *Published == *Servers)
       return;
@@ -151,6 +171,7 @@
   }
 
   Kernel::Task &Home;
+  Kernel::Timers Clock{Home};
   NodeSettings Settings;
   std::function<Sinks()> FindSinks;
   Sinks Targets;
@@ -159,6 +180,7 @@
   std::string Announced;
   std::optional<Kernel::TimerId> Lease;
   Routing::ServerViewPtr Published;
+  std::shared_ptr<const std::vector<Membership::Member>> PublishedMembers;
 };
 
 } // namespace Node
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "Config/AcceptedHistory.h"
 #include "Membership/Member.h"
@@ -16,6 +18,7 @@
 inline const std::string FrontName = "front";
 inline const std::string PeersName = "peers";
 inline const std::string BackendName = "backend";
+inline const std::string ControlName = "control";
 inline const std::string ConfigName = "config";
 inline const std::string MembersName = "members";
 inline const std::string AdminName = "admin";
@@ -82,9 +85,37 @@
 using MembersMessage =
     std::variant<ServerAnnounced, ServerLeft, VersionInForce>;
 
-// The config service is told nothing; it follows the log.
-struct ConfigNothing {};
-using ConfigMessage = std::variant<ConfigNothing>;
+// The nodes that are alive, this one among them.
+struct MembersChanged {
+  std::shared_ptr<const std::vector<Membership::Member>> Alive;
+};
+
+// A message of the same service on another node. ReplyEnvelope with the origin
+// answers it on the connection it came by.
+struct EnvelopeArrived {
+  OriginId Origin = LocalOrigin;
+  std::string Content;
+};
+// The connection over which envelopes went to a node is gone; those that had
+// no answer get none.
+struct EnvelopeLost {
+  Routing::NodeAddress Address;
+};
+struct SendEnvelope {
+  // "IP:port" of the other node's control socket.
+  Routing::NodeAddress Address;
+  std::string Service;
+  std::string Content;
+};
+struct ReplyEnvelope {
+  OriginId Origin = LocalOrigin;
+  std::string Service;
+  std::string Content;
+};
+using ControlMessage = std::variant<SendEnvelope, ReplyEnvelope>;
+
+using ConfigMessage =
+    std::variant<MembersChanged, EnvelopeArrived, EnvelopeLost>;
 
 struct RecordJudged {
   Config::Verdict Judged;
--- a/Source/Core/Node/NodeBuilder.cpp
+++ b/Source/Core/Node/NodeBuilder.cpp
@@ -3,6 +3,7 @@
 #include "Node/AdminService.h"
 #include "Node/BackendService.h"
 #include "Node/ConfigService.h"
+#include "Node/ControlService.h"
 #include "Node/FrontService.h"
 #include "Node/MembersService.h"
 #include "Node/PeersService.h"
@@ -15,6 +16,7 @@
 using PeersAddress = Kernel::Address<PeersMessage>;
 using BackendAddress = Kernel::Address<BackendMessage>;
 using MembersAddress = Kernel::Address<MembersMessage>;
+using ConfigAddress = Kernel::Address<ConfigMessage>;
 using AdminAddress = Kernel::Address<AdminMessage>;
 
 using Front = FrontService<Routing::TwoChoices, PeersAddress, MembersAddress,
@@ -22,7 +24,7 @@
 using PeersTask = PeersService<FrontAddress, BackendAddress>;
 using BackendTask = BackendService<PeersAddress>;
 using ConfigTask = ConfigService<FrontAddress, AdminAddress>;
-using MembersTask = MembersService<FrontAddress, AdminAddress>;
+using MembersTask = MembersService<FrontAddress, ConfigAddress, AdminAddress>;
 using AdminTask = AdminService<BackendAddress, MembersAddress>;
 
 // Calls pass front, peers and backend on one task: each hop between threads
@@ -30,6 +32,17 @@
 constexpr const char *CallTask = "calls";
 constexpr const char *ControlTask = "control";
 
+// Passes envelopes on to a service whose messages include them.
+template <class Message>
+EnvelopeSinks envelopeSinks(Kernel::Address<Message> Target) {
+  return {[Target](EnvelopeArrived Part) mutable {
+            Target.post(Message(std::move(Part)));
+          },
+          [Target](EnvelopeLost Part) mutable {
+            Target.post(Message(std::move(Part)));
+          }};
+}
+
 } // namespace
 
 NodeBuilder &NodeBuilder::settings(NodeSettings Value) {
@@ -78,8 +91,18 @@
                   Services.find<MembersMessage>(MembersName)};
             });
       });
+  Builder.service<ControlService>(
+      ControlName, ControlTask, {}, [Own](Kernel::Context Around) {
+        return std::make_unique<ControlService>(
+            Around, Own, [&Services = Around.Services] {
+              ControlService::SinksByService Sinks;
+              Sinks[ConfigName] =
+                  envelopeSinks(Services.find<ConfigMessage>(ConfigName));
+              return Sinks;
+            });
+      });
   Builder.service<ConfigTask>(
-      ConfigName, ControlTask, {FrontName, AdminName},
+      ConfigName, ControlTask, {ControlName, FrontName, AdminName},
       [Own](Kernel::Context Around) {
         return std::make_unique<ConfigTask>(
             Around, Own,
@@ -91,8 +114,10 @@
       [Own](Kernel::Context Around) {
         return std::make_unique<MembersTask>(
             Around, Own, [&Services = Around.Services] {
-              return MembersTask::Sinks{Services.find<FrontMessage>(FrontName),
-                                        Services.find<AdminMessage>(AdminName)};
+              return MembersTask::Sinks{
+                  Services.find<FrontMessage>(FrontName),
+                  Services.find<ConfigMessage>(ConfigName),
+                  Services.find<AdminMessage>(AdminName)};
             });
       });
   return Builder.build();
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -67,6 +67,8 @@
        "time between telling that the node leaves and refusing calls"},
       {"members", "drain-limit", SettingType::Time, "1h", Second,
        86400 * Second, "longest wait for running calls at a stop"},
+      {"control", "port", SettingType::Integer, "0", 0, MaxPort,
+       "TCP port for configuration and claims between nodes"},
       {"admin", "port", SettingType::Integer, "0", 0, MaxPort,
        "HTTP port for operators and the backend server"},
       {"log",
@@ -98,6 +100,7 @@
       static_cast<std::size_t>(From.integer("calls", "body-limit"));
   Result.PeerPort = static_cast<int>(From.integer("peers", "port"));
   Result.MemberPort = static_cast<int>(From.integer("members", "port"));
+  Result.ControlPort = static_cast<int>(From.integer("control", "port"));
   Result.AdminPort = static_cast<int>(From.integer("admin", "port"));
   std::istringstream Seeds(From.text("members", "seeds"));
   for (std::string Seed; Seeds >> Seed;)
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -23,6 +23,7 @@
   int CallPort = 0;
   int PeerPort = 0;
   int MemberPort = 0;
+  int ControlPort = 0;
   int AdminPort = 0;
   std::size_t BodyLimit = 0;
   std::vector<SeedAddress> Seeds;
--- a/Source/Core/Wire/Codec.cpp
+++ b/Source/Core/Wire/Codec.cpp
@@ -113,6 +113,15 @@
   return Result;
 }
 
+Generated::Frame toWire(const Envelope &From) {
+  Generated::Envelope Part;
+  Part.Service = From.Service;
+  Part.Content = From.Content;
+  Generated::Frame Result;
+  Result.__set_EnvelopeFrame(Part);
+  return Result;
+}
+
 Routing::CallRequest fromWire(Generated::CallRequest &Part) {
   Routing::CallRequest Result;
   Result.Attempt = Part.CallId;
@@ -154,6 +163,7 @@
   Result.Address = From.Address;
   Result.PeerPort = From.PeerPort;
   Result.MemberPort = From.MemberPort;
+  Result.ControlPort = From.ControlPort;
   Result.Incarnation = From.Incarnation;
   Result.Health = static_cast<std::int32_t>(From.State);
   Result.ConfigVersion = From.ConfigVersion;
@@ -178,6 +188,7 @@
   Result.Address = From.Address;
   Result.PeerPort = From.PeerPort;
   Result.MemberPort = From.MemberPort;
+  Result.ControlPort = From.ControlPort;
   Result.Incarnation = From.Incarnation;
   Result.State = static_cast<Membership::Health>(From.Health);
   Result.ConfigVersion = From.ConfigVersion;
@@ -204,6 +215,9 @@
     return CancelCall{Decoded.Cancel.CallId};
   if (Decoded.__isset.EchoFrame)
     return Echo{Decoded.EchoFrame.Sequence, Decoded.EchoFrame.IsAnswer};
+  if (Decoded.__isset.EnvelopeFrame)
+    return Envelope{std::move(Decoded.EnvelopeFrame.Service),
+                    std::move(Decoded.EnvelopeFrame.Content)};
   if (Decoded.__isset.HelloFrame)
     return Hello{std::move(Decoded.HelloFrame.Node),
                  std::move(Decoded.HelloFrame.DataCentre),
--- a/Source/Core/Wire/Frame.h
+++ b/Source/Core/Wire/Frame.h
@@ -27,7 +27,13 @@
   bool IsAnswer = false;
 };
 
+// A message for the service of that name on the other node.
+struct Envelope {
+  std::string Service;
+  std::string Content;
+};
+
 using Frame = std::variant<Hello, Routing::CallRequest, Routing::CallReply,
-                           CancelCall, Echo>;
+                           CancelCall, Echo, Envelope>;
 
 } // namespace Wire
--- a/Source/Core/Wire/Generated/Zinnia_types.cpp
+++ b/Source/Core/Wire/Generated/Zinnia_types.cpp
@@ -1042,125 +1042,25 @@
 }
 
 
-ConfigWanted::~ConfigWanted() noexcept {
+Envelope::~Envelope() noexcept {
 }
 
 
-void ConfigWanted::__set_AboveVersion(const int64_t val) {
-  this->AboveVersion = val;
-}
-std::ostream& operator<<(std::ostream& out, const ConfigWanted& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t ConfigWanted::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->AboveVersion);
-          this->__isset.AboveVersion = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t ConfigWanted::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigWanted");
-
-  xfer += oprot->writeFieldBegin("AboveVersion", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->AboveVersion);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(ConfigWanted &a, ConfigWanted &b) {
-  using ::std::swap;
-  swap(a.AboveVersion, b.AboveVersion);
-  swap(a.__isset, b.__isset);
-}
-
-ConfigWanted::ConfigWanted(const ConfigWanted& other26) noexcept {
-  AboveVersion = other26.AboveVersion;
-  __isset = other26.__isset;
-}
-ConfigWanted& ConfigWanted::operator=(const ConfigWanted& other27) noexcept {
-  AboveVersion = other27.AboveVersion;
-  __isset = other27.__isset;
-  return *this;
-}
-void ConfigWanted::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "ConfigWanted(";
-  out << "AboveVersion=" << to_string(AboveVersion);
-  out << ")";
-}
-
-
-ConfigOffer::~ConfigOffer() noexcept {
-}
-
-
-void ConfigOffer::__set_Version(const int64_t val) {
-  this->Version = val;
-}
-
-void ConfigOffer::__set_RuleLevel(const int32_t val) {
-  this->RuleLevel = val;
+void Envelope::__set_Service(const std::string& val) {
+  this->Service = val;
 }
 
-void ConfigOffer::__set_CompressedSet(const std::string& val) {
-  this->CompressedSet = val;
+void Envelope::__set_Content(const std::string& val) {
+  this->Content = val;
 }
-
-void ConfigOffer::__set_Hash(const int64_t val) {
-  this->Hash = val;
-}
-std::ostream& operator<<(std::ostream& out, const ConfigOffer& obj)
+std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigOffer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Envelope::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1182,33 +1082,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->Version);
-          this->__isset.Version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Service);
+          this->__isset.Service = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->RuleLevel);
-          this->__isset.RuleLevel = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->CompressedSet);
-          this->__isset.CompressedSet = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->Hash);
-          this->__isset.Hash = true;
+          xfer += iprot->readBinary(this->Content);
+          this->__isset.Content = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1225,25 +1109,17 @@
   return xfer;
 }
 
-uint32_t ConfigOffer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Envelope::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigOffer");
-
-  xfer += oprot->writeFieldBegin("Version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->Version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("RuleLevel", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->RuleLevel);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Envelope");
 
-  xfer += oprot->writeFieldBegin("CompressedSet", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->CompressedSet);
+  xfer += oprot->writeFieldBegin("Service", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Service);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Hash", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->Hash);
+  xfer += oprot->writeFieldBegin("Content", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->Content);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1251,37 +1127,29 @@
   return xfer;
 }
 
-void swap(ConfigOffer &a, ConfigOffer &b) {
+void swap(Envelope &a, Envelope &b) {
   using ::std::swap;
-  swap(a.Version, b.Version);
-  swap(a.RuleLevel, b.RuleLevel);
-  swap(a.CompressedSet, b.CompressedSet);
-  swap(a.Hash, b.Hash);
+  swap(a.Service, b.Service);
+  swap(a.Content, b.Content);
   swap(a.__isset, b.__isset);
 }
 
-ConfigOffer::ConfigOffer(const ConfigOffer& other28) {
-  Version = other28.Version;
-  RuleLevel = other28.RuleLevel;
-  CompressedSet = other28.CompressedSet;
-  Hash = other28.Hash;
-  __isset = other28.__isset;
+Envelope::Envelope(const Envelope& other26) {
+  Service = other26.Service;
+  Content = other26.Content;
+  __isset = other26.__isset;
 }
-ConfigOffer& ConfigOffer::operator=(const ConfigOffer& other29) {
-  Version = other29.Version;
-  RuleLevel = other29.RuleLevel;
-  CompressedSet = other29.CompressedSet;
-  Hash = other29.Hash;
-  __isset = other29.__isset;
+Envelope& Envelope::operator=(const Envelope& other27) {
+  Service = other27.Service;
+  Content = other27.Content;
+  __isset = other27.__isset;
   return *this;
 }
-void ConfigOffer::printTo(std::ostream& out) const {
+void Envelope::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigOffer(";
-  out << "Version=" << to_string(Version);
-  out << ", " << "RuleLevel=" << to_string(RuleLevel);
-  out << ", " << "CompressedSet=" << to_string(CompressedSet);
-  out << ", " << "Hash=" << to_string(Hash);
+  out << "Envelope(";
+  out << "Service=" << to_string(Service);
+  out << ", " << "Content=" << to_string(Content);
   out << ")";
 }
 
@@ -1315,14 +1183,9 @@
 __isset.EchoFrame = true;
 }
 
-void Frame::__set_Wanted(const ConfigWanted& val) {
-  this->Wanted = val;
-__isset.Wanted = true;
-}
-
-void Frame::__set_Offer(const ConfigOffer& val) {
-  this->Offer = val;
-__isset.Offer = true;
+void Frame::__set_EnvelopeFrame(const Envelope& val) {
+  this->EnvelopeFrame = val;
+__isset.EnvelopeFrame = true;
 }
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
@@ -1394,16 +1257,8 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->Wanted.read(iprot);
-          this->__isset.Wanted = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->Offer.read(iprot);
-          this->__isset.Offer = true;
+          xfer += this->EnvelopeFrame.read(iprot);
+          this->__isset.EnvelopeFrame = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1450,14 +1305,9 @@
     xfer += this->EchoFrame.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.Wanted) {
-    xfer += oprot->writeFieldBegin("Wanted", ::apache::thrift::protocol::T_STRUCT, 6);
-    xfer += this->Wanted.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.Offer) {
-    xfer += oprot->writeFieldBegin("Offer", ::apache::thrift::protocol::T_STRUCT, 7);
-    xfer += this->Offer.write(oprot);
+  if (this->__isset.EnvelopeFrame) {
+    xfer += oprot->writeFieldBegin("EnvelopeFrame", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->EnvelopeFrame.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -1472,30 +1322,27 @@
   swap(a.Reply, b.Reply);
   swap(a.Cancel, b.Cancel);
   swap(a.EchoFrame, b.EchoFrame);
-  swap(a.Wanted, b.Wanted);
-  swap(a.Offer, b.Offer);
+  swap(a.EnvelopeFrame, b.EnvelopeFrame);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other30) {
-  HelloFrame = other30.HelloFrame;
-  Request = other30.Request;
-  Reply = other30.Reply;
-  Cancel = other30.Cancel;
-  EchoFrame = other30.EchoFrame;
-  Wanted = other30.Wanted;
-  Offer = other30.Offer;
-  __isset = other30.__isset;
+Frame::Frame(const Frame& other28) {
+  HelloFrame = other28.HelloFrame;
+  Request = other28.Request;
+  Reply = other28.Reply;
+  Cancel = other28.Cancel;
+  EchoFrame = other28.EchoFrame;
+  EnvelopeFrame = other28.EnvelopeFrame;
+  __isset = other28.__isset;
 }
-Frame& Frame::operator=(const Frame& other31) {
-  HelloFrame = other31.HelloFrame;
-  Request = other31.Request;
-  Reply = other31.Reply;
-  Cancel = other31.Cancel;
-  EchoFrame = other31.EchoFrame;
-  Wanted = other31.Wanted;
-  Offer = other31.Offer;
-  __isset = other31.__isset;
+Frame& Frame::operator=(const Frame& other29) {
+  HelloFrame = other29.HelloFrame;
+  Request = other29.Request;
+  Reply = other29.Reply;
+  Cancel = other29.Cancel;
+  EchoFrame = other29.EchoFrame;
+  EnvelopeFrame = other29.EnvelopeFrame;
+  __isset = other29.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -1506,8 +1353,7 @@
   out << ", " << "Reply="; (__isset.Reply ? (out << to_string(Reply)) : (out << "<null>"));
   out << ", " << "Cancel="; (__isset.Cancel ? (out << to_string(Cancel)) : (out << "<null>"));
   out << ", " << "EchoFrame="; (__isset.EchoFrame ? (out << to_string(EchoFrame)) : (out << "<null>"));
-  out << ", " << "Wanted="; (__isset.Wanted ? (out << to_string(Wanted)) : (out << "<null>"));
-  out << ", " << "Offer="; (__isset.Offer ? (out << to_string(Offer)) : (out << "<null>"));
+  out << ", " << "EnvelopeFrame="; (__isset.EnvelopeFrame ? (out << to_string(EnvelopeFrame)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1689,25 +1535,25 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigRecord::ConfigRecord(const ConfigRecord& other32) {
-  Id = other32.Id;
-  Base = other32.Base;
-  Level = other32.Level;
-  Author = other32.Author;
-  Note = other32.Note;
-  CompressedSet = other32.CompressedSet;
-  Hash = other32.Hash;
-  __isset = other32.__isset;
+ConfigRecord::ConfigRecord(const ConfigRecord& other30) {
+  Id = other30.Id;
+  Base = other30.Base;
+  Level = other30.Level;
+  Author = other30.Author;
+  Note = other30.Note;
+  CompressedSet = other30.CompressedSet;
+  Hash = other30.Hash;
+  __isset = other30.__isset;
 }
-ConfigRecord& ConfigRecord::operator=(const ConfigRecord& other33) {
-  Id = other33.Id;
-  Base = other33.Base;
-  Level = other33.Level;
-  Author = other33.Author;
-  Note = other33.Note;
-  CompressedSet = other33.CompressedSet;
-  Hash = other33.Hash;
-  __isset = other33.__isset;
+ConfigRecord& ConfigRecord::operator=(const ConfigRecord& other31) {
+  Id = other31.Id;
+  Base = other31.Base;
+  Level = other31.Level;
+  Author = other31.Author;
+  Note = other31.Note;
+  CompressedSet = other31.CompressedSet;
+  Hash = other31.Hash;
+  __isset = other31.__isset;
   return *this;
 }
 void ConfigRecord::printTo(std::ostream& out) const {
@@ -1850,19 +1696,19 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointState::EndpointState(const EndpointState& other34) {
-  Service = other34.Service;
-  Server = other34.Server;
-  Slots = other34.Slots;
-  Leaving = other34.Leaving;
-  __isset = other34.__isset;
+EndpointState::EndpointState(const EndpointState& other32) {
+  Service = other32.Service;
+  Server = other32.Server;
+  Slots = other32.Slots;
+  Leaving = other32.Leaving;
+  __isset = other32.__isset;
 }
-EndpointState& EndpointState::operator=(const EndpointState& other35) {
-  Service = other35.Service;
-  Server = other35.Server;
-  Slots = other35.Slots;
-  Leaving = other35.Leaving;
-  __isset = other35.__isset;
+EndpointState& EndpointState::operator=(const EndpointState& other33) {
+  Service = other33.Service;
+  Server = other33.Server;
+  Slots = other33.Slots;
+  Leaving = other33.Leaving;
+  __isset = other33.__isset;
   return *this;
 }
 void EndpointState::printTo(std::ostream& out) const {
@@ -1900,6 +1746,10 @@
   this->MemberPort = val;
 }
 
+void MemberState::__set_ControlPort(const int32_t val) {
+  this->ControlPort = val;
+}
+
 void MemberState::__set_Incarnation(const int64_t val) {
   this->Incarnation = val;
 }
@@ -1984,6 +1834,14 @@
         }
         break;
       case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ControlPort);
+          this->__isset.ControlPort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->Incarnation);
           this->__isset.Incarnation = true;
@@ -1991,7 +1849,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
+      case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->Health);
           this->__isset.Health = true;
@@ -1999,18 +1857,18 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 9:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Endpoints.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->Endpoints.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->Endpoints.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->Endpoints[_i40].read(iprot);
+              xfer += this->Endpoints[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2019,7 +1877,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
+      case 10:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->ConfigVersion);
           this->__isset.ConfigVersion = true;
@@ -2064,27 +1922,31 @@
   xfer += oprot->writeI32(this->MemberPort);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeFieldBegin("ControlPort", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->ControlPort);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 7);
   xfer += oprot->writeI64(this->Incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Health", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeFieldBegin("Health", ::apache::thrift::protocol::T_I32, 8);
   xfer += oprot->writeI32(this->Health);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Endpoints", ::apache::thrift::protocol::T_LIST, 8);
+  xfer += oprot->writeFieldBegin("Endpoints", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Endpoints.size()));
-    std::vector<EndpointState> ::const_iterator _iter41;
-    for (_iter41 = this->Endpoints.begin(); _iter41 != this->Endpoints.end(); ++_iter41)
+    std::vector<EndpointState> ::const_iterator _iter39;
+    for (_iter39 = this->Endpoints.begin(); _iter39 != this->Endpoints.end(); ++_iter39)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ConfigVersion", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeFieldBegin("ConfigVersion", ::apache::thrift::protocol::T_I64, 10);
   xfer += oprot->writeI64(this->ConfigVersion);
   xfer += oprot->writeFieldEnd();
 
@@ -2100,6 +1962,7 @@
   swap(a.Address, b.Address);
   swap(a.PeerPort, b.PeerPort);
   swap(a.MemberPort, b.MemberPort);
+  swap(a.ControlPort, b.ControlPort);
   swap(a.Incarnation, b.Incarnation);
   swap(a.Health, b.Health);
   swap(a.Endpoints, b.Endpoints);
@@ -2107,29 +1970,31 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberState::MemberState(const MemberState& other42) {
-  Node = other42.Node;
-  DataCentre = other42.DataCentre;
-  Address = other42.Address;
-  PeerPort = other42.PeerPort;
-  MemberPort = other42.MemberPort;
-  Incarnation = other42.Incarnation;
-  Health = other42.Health;
-  Endpoints = other42.Endpoints;
-  ConfigVersion = other42.ConfigVersion;
-  __isset = other42.__isset;
-}
-MemberState& MemberState::operator=(const MemberState& other43) {
-  Node = other43.Node;
-  DataCentre = other43.DataCentre;
-  Address = other43.Address;
-  PeerPort = other43.PeerPort;
-  MemberPort = other43.MemberPort;
-  Incarnation = other43.Incarnation;
-  Health = other43.Health;
-  Endpoints = other43.Endpoints;
-  ConfigVersion = other43.ConfigVersion;
-  __isset = other43.__isset;
+MemberState::MemberState(const MemberState& other40) {
+  Node = other40.Node;
+  DataCentre = other40.DataCentre;
+  Address = other40.Address;
+  PeerPort = other40.PeerPort;
+  MemberPort = other40.MemberPort;
+  ControlPort = other40.ControlPort;
+  Incarnation = other40.Incarnation;
+  Health = other40.Health;
+  Endpoints = other40.Endpoints;
+  ConfigVersion = other40.ConfigVersion;
+  __isset = other40.__isset;
+}
+MemberState& MemberState::operator=(const MemberState& other41) {
+  Node = other41.Node;
+  DataCentre = other41.DataCentre;
+  Address = other41.Address;
+  PeerPort = other41.PeerPort;
+  MemberPort = other41.MemberPort;
+  ControlPort = other41.ControlPort;
+  Incarnation = other41.Incarnation;
+  Health = other41.Health;
+  Endpoints = other41.Endpoints;
+  ConfigVersion = other41.ConfigVersion;
+  __isset = other41.__isset;
   return *this;
 }
 void MemberState::printTo(std::ostream& out) const {
@@ -2140,6 +2005,7 @@
   out << ", " << "Address=" << to_string(Address);
   out << ", " << "PeerPort=" << to_string(PeerPort);
   out << ", " << "MemberPort=" << to_string(MemberPort);
+  out << ", " << "ControlPort=" << to_string(ControlPort);
   out << ", " << "Incarnation=" << to_string(Incarnation);
   out << ", " << "Health=" << to_string(Health);
   out << ", " << "Endpoints=" << to_string(Endpoints);
@@ -2148,158 +2014,6 @@
 }
 
 
-Probe::~Probe() noexcept {
-}
-
-
-void Probe::__set_Sequence(const int64_t val) {
-  this->Sequence = val;
-}
-
-void Probe::__set_IsAnswer(const bool val) {
-  this->IsAnswer = val;
-}
-
-void Probe::__set_Target(const std::string& val) {
-  this->Target = val;
-}
-
-void Probe::__set_OnBehalfOf(const std::string& val) {
-  this->OnBehalfOf = val;
-}
-std::ostream& operator<<(std::ostream& out, const Probe& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t Probe::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->Sequence);
-          this->__isset.Sequence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->IsAnswer);
-          this->__isset.IsAnswer = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->Target);
-          this->__isset.Target = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->OnBehalfOf);
-          this->__isset.OnBehalfOf = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t Probe::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Probe");
-
-  xfer += oprot->writeFieldBegin("Sequence", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->Sequence);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("IsAnswer", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->IsAnswer);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("Target", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->Target);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("OnBehalfOf", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->OnBehalfOf);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(Probe &a, Probe &b) {
-  using ::std::swap;
-  swap(a.Sequence, b.Sequence);
-  swap(a.IsAnswer, b.IsAnswer);
-  swap(a.Target, b.Target);
-  swap(a.OnBehalfOf, b.OnBehalfOf);
-  swap(a.__isset, b.__isset);
-}
-
-Probe::Probe(const Probe& other44) {
-  Sequence = other44.Sequence;
-  IsAnswer = other44.IsAnswer;
-  Target = other44.Target;
-  OnBehalfOf = other44.OnBehalfOf;
-  __isset = other44.__isset;
-}
-Probe& Probe::operator=(const Probe& other45) {
-  Sequence = other45.Sequence;
-  IsAnswer = other45.IsAnswer;
-  Target = other45.Target;
-  OnBehalfOf = other45.OnBehalfOf;
-  __isset = other45.__isset;
-  return *this;
-}
-void Probe::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "Probe(";
-  out << "Sequence=" << to_string(Sequence);
-  out << ", " << "IsAnswer=" << to_string(IsAnswer);
-  out << ", " << "Target=" << to_string(Target);
-  out << ", " << "OnBehalfOf=" << to_string(OnBehalfOf);
-  out << ")";
-}
-
-
 Datagram::~Datagram() noexcept {
 }
 
@@ -2308,22 +2022,9 @@
   this->From = val;
 }
 
-void Datagram::__set_ConfigVersion(const int64_t val) {
-  this->ConfigVersion = val;
-}
-
-void Datagram::__set_ProbePart(const Probe& val) {
-  this->ProbePart = val;
-__isset.ProbePart = true;
-}
-
 void Datagram::__set_Members(const std::vector<MemberState> & val) {
   this->Members = val;
 }
-
-void Datagram::__set_WantsAll(const bool val) {
-  this->WantsAll = val;
-}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -2361,33 +2062,17 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ConfigVersion);
-          this->__isset.ConfigVersion = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->ProbePart.read(iprot);
-          this->__isset.ProbePart = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Members.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->Members.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->Members.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->Members[_i50].read(iprot);
+              xfer += this->Members[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2396,14 +2081,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->WantsAll);
-          this->__isset.WantsAll = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2425,31 +2102,18 @@
   xfer += oprot->writeString(this->From);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ConfigVersion", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->ConfigVersion);
-  xfer += oprot->writeFieldEnd();
-
-  if (this->__isset.ProbePart) {
-    xfer += oprot->writeFieldBegin("ProbePart", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->ProbePart.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldBegin("Members", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("Members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Members.size()));
-    std::vector<MemberState> ::const_iterator _iter51;
-    for (_iter51 = this->Members.begin(); _iter51 != this->Members.end(); ++_iter51)
+    std::vector<MemberState> ::const_iterator _iter47;
+    for (_iter47 = this->Members.begin(); _iter47 != this->Members.end(); ++_iter47)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("WantsAll", ::apache::thrift::protocol::T_BOOL, 5);
-  xfer += oprot->writeBool(this->WantsAll);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2458,38 +2122,26 @@
 void swap(Datagram &a, Datagram &b) {
   using ::std::swap;
   swap(a.From, b.From);
-  swap(a.ConfigVersion, b.ConfigVersion);
-  swap(a.ProbePart, b.ProbePart);
   swap(a.Members, b.Members);
-  swap(a.WantsAll, b.WantsAll);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other52) {
-  From = other52.From;
-  ConfigVersion = other52.ConfigVersion;
-  ProbePart = other52.ProbePart;
-  Members = other52.Members;
-  WantsAll = other52.WantsAll;
-  __isset = other52.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other53) {
-  From = other53.From;
-  ConfigVersion = other53.ConfigVersion;
-  ProbePart = other53.ProbePart;
-  Members = other53.Members;
-  WantsAll = other53.WantsAll;
-  __isset = other53.__isset;
+Datagram::Datagram(const Datagram& other48) {
+  From = other48.From;
+  Members = other48.Members;
+  __isset = other48.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other49) {
+  From = other49.From;
+  Members = other49.Members;
+  __isset = other49.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Datagram(";
   out << "From=" << to_string(From);
-  out << ", " << "ConfigVersion=" << to_string(ConfigVersion);
-  out << ", " << "ProbePart="; (__isset.ProbePart ? (out << to_string(ProbePart)) : (out << "<null>"));
   out << ", " << "Members=" << to_string(Members);
-  out << ", " << "WantsAll=" << to_string(WantsAll);
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Zinnia_types.h
+++ b/Source/Core/Wire/Generated/Zinnia_types.h
@@ -31,9 +31,7 @@
 
 class Echo;
 
-class ConfigWanted;
-
-class ConfigOffer;
+class Envelope;
 
 class Frame;
 
@@ -43,8 +41,6 @@
 
 class MemberState;
 
-class Probe;
-
 class Datagram;
 
 typedef struct _Hello__isset {
@@ -442,102 +438,45 @@
 
 std::ostream& operator<<(std::ostream& out, const Echo& obj);
 
-typedef struct _ConfigWanted__isset {
-  _ConfigWanted__isset() : AboveVersion(false) {}
-  bool AboveVersion :1;
-} _ConfigWanted__isset;
-
-class ConfigWanted : public virtual ::apache::thrift::TBase {
- public:
-
-  ConfigWanted(const ConfigWanted&) noexcept;
-  ConfigWanted& operator=(const ConfigWanted&) noexcept;
-  ConfigWanted() noexcept
-               : AboveVersion(0) {
-  }
-
-  virtual ~ConfigWanted() noexcept;
-  int64_t AboveVersion;
-
-  _ConfigWanted__isset __isset;
-
-  void __set_AboveVersion(const int64_t val);
-
-  bool operator == (const ConfigWanted & rhs) const
-  {
-    if (!(AboveVersion == rhs.AboveVersion))
-      return false;
-    return true;
-  }
-  bool operator != (const ConfigWanted &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const ConfigWanted & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(ConfigWanted &a, ConfigWanted &b);
-
-std::ostream& operator<<(std::ostream& out, const ConfigWanted& obj);
-
-typedef struct _ConfigOffer__isset {
-  _ConfigOffer__isset() : Version(false), RuleLevel(false), CompressedSet(false), Hash(false) {}
-  bool Version :1;
-  bool RuleLevel :1;
-  bool CompressedSet :1;
-  bool Hash :1;
-} _ConfigOffer__isset;
+typedef struct _Envelope__isset {
+  _Envelope__isset() : Service(false), Content(false) {}
+  bool Service :1;
+  bool Content :1;
+} _Envelope__isset;
 
-class ConfigOffer : public virtual ::apache::thrift::TBase {
+class Envelope : public virtual ::apache::thrift::TBase {
  public:
 
-  ConfigOffer(const ConfigOffer&);
-  ConfigOffer& operator=(const ConfigOffer&);
-  ConfigOffer() noexcept
-              : Version(0),
-                RuleLevel(0),
-                CompressedSet(),
-                Hash(0) {
+  Envelope(const Envelope&);
+  Envelope& operator=(const Envelope&);
+  Envelope() noexcept
+           : Service(),
+             Content() {
   }
 
-  virtual ~ConfigOffer() noexcept;
-  int64_t Version;
-  int32_t RuleLevel;
-  std::string CompressedSet;
-  int64_t Hash;
-
-  _ConfigOffer__isset __isset;
-
-  void __set_Version(const int64_t val);
+  virtual ~Envelope() noexcept;
+  std::string Service;
+  std::string Content;
 
-  void __set_RuleLevel(const int32_t val);
+  _Envelope__isset __isset;
 
-  void __set_CompressedSet(const std::string& val);
+  void __set_Service(const std::string& val);
 
-  void __set_Hash(const int64_t val);
+  void __set_Content(const std::string& val);
 
-  bool operator == (const ConfigOffer & rhs) const
+  bool operator == (const Envelope & rhs) const
   {
-    if (!(Version == rhs.Version))
-      return false;
-    if (!(RuleLevel == rhs.RuleLevel))
-      return false;
-    if (!(CompressedSet == rhs.CompressedSet))
+    if (!(Service == rhs.Service))
       return false;
-    if (!(Hash == rhs.Hash))
+    if (!(Content == rhs.Content))
       return false;
     return true;
   }
-  bool operator != (const ConfigOffer &rhs) const {
+  bool operator != (const Envelope &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ConfigOffer & ) const;
+  bool operator < (const Envelope & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -545,19 +484,18 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ConfigOffer &a, ConfigOffer &b);
+void swap(Envelope &a, Envelope &b);
 
-std::ostream& operator<<(std::ostream& out, const ConfigOffer& obj);
+std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _Frame__isset {
-  _Frame__isset() : HelloFrame(false), Request(false), Reply(false), Cancel(false), EchoFrame(false), Wanted(false), Offer(false) {}
+  _Frame__isset() : HelloFrame(false), Request(false), Reply(false), Cancel(false), EchoFrame(false), EnvelopeFrame(false) {}
   bool HelloFrame :1;
   bool Request :1;
   bool Reply :1;
   bool Cancel :1;
   bool EchoFrame :1;
-  bool Wanted :1;
-  bool Offer :1;
+  bool EnvelopeFrame :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -574,8 +512,7 @@
   CallReply Reply;
   CancelCall Cancel;
   Echo EchoFrame;
-  ConfigWanted Wanted;
-  ConfigOffer Offer;
+  Envelope EnvelopeFrame;
 
   _Frame__isset __isset;
 
@@ -589,9 +526,7 @@
 
   void __set_EchoFrame(const Echo& val);
 
-  void __set_Wanted(const ConfigWanted& val);
-
-  void __set_Offer(const ConfigOffer& val);
+  void __set_EnvelopeFrame(const Envelope& val);
 
   bool operator == (const Frame & rhs) const
   {
@@ -615,13 +550,9 @@
       return false;
     else if (__isset.EchoFrame && !(EchoFrame == rhs.EchoFrame))
       return false;
-    if (__isset.Wanted != rhs.__isset.Wanted)
-      return false;
-    else if (__isset.Wanted && !(Wanted == rhs.Wanted))
+    if (__isset.EnvelopeFrame != rhs.__isset.EnvelopeFrame)
       return false;
-    if (__isset.Offer != rhs.__isset.Offer)
-      return false;
-    else if (__isset.Offer && !(Offer == rhs.Offer))
+    else if (__isset.EnvelopeFrame && !(EnvelopeFrame == rhs.EnvelopeFrame))
       return false;
     return true;
   }
@@ -791,12 +722,13 @@
 std::ostream& operator<<(std::ostream& out, const EndpointState& obj);
 
 typedef struct _MemberState__isset {
-  _MemberState__isset() : Node(false), DataCentre(false), Address(false), PeerPort(false), MemberPort(false), Incarnation(false), Health(false), Endpoints(false), ConfigVersion(false) {}
+  _MemberState__isset() : Node(false), DataCentre(false), Address(false), PeerPort(false), MemberPort(false), ControlPort(false), Incarnation(false), Health(false), Endpoints(false), ConfigVersion(false) {}
   bool Node :1;
   bool DataCentre :1;
   bool Address :1;
   bool PeerPort :1;
   bool MemberPort :1;
+  bool ControlPort :1;
   bool Incarnation :1;
   bool Health :1;
   bool Endpoints :1;
@@ -814,6 +746,7 @@
                 Address(),
                 PeerPort(0),
                 MemberPort(0),
+                ControlPort(0),
                 Incarnation(0),
                 Health(0),
                 ConfigVersion(0) {
@@ -825,6 +758,7 @@
   std::string Address;
   int32_t PeerPort;
   int32_t MemberPort;
+  int32_t ControlPort;
   int64_t Incarnation;
   int32_t Health;
   std::vector<EndpointState>  Endpoints;
@@ -842,6 +776,8 @@
 
   void __set_MemberPort(const int32_t val);
 
+  void __set_ControlPort(const int32_t val);
+
   void __set_Incarnation(const int64_t val);
 
   void __set_Health(const int32_t val);
@@ -862,6 +798,8 @@
       return false;
     if (!(MemberPort == rhs.MemberPort))
       return false;
+    if (!(ControlPort == rhs.ControlPort))
+      return false;
     if (!(Incarnation == rhs.Incarnation))
       return false;
     if (!(Health == rhs.Health))
@@ -888,77 +826,10 @@
 
 std::ostream& operator<<(std::ostream& out, const MemberState& obj);
 
-typedef struct _Probe__isset {
-  _Probe__isset() : Sequence(false), IsAnswer(false), Target(false), OnBehalfOf(false) {}
-  bool Sequence :1;
-  bool IsAnswer :1;
-  bool Target :1;
-  bool OnBehalfOf :1;
-} _Probe__isset;
-
-class Probe : public virtual ::apache::thrift::TBase {
- public:
-
-  Probe(const Probe&);
-  Probe& operator=(const Probe&);
-  Probe() noexcept
-        : Sequence(0),
-          IsAnswer(0),
-          Target(),
-          OnBehalfOf() {
-  }
-
-  virtual ~Probe() noexcept;
-  int64_t Sequence;
-  bool IsAnswer;
-  std::string Target;
-  std::string OnBehalfOf;
-
-  _Probe__isset __isset;
-
-  void __set_Sequence(const int64_t val);
-
-  void __set_IsAnswer(const bool val);
-
-  void __set_Target(const std::string& val);
-
-  void __set_OnBehalfOf(const std::string& val);
-
-  bool operator == (const Probe & rhs) const
-  {
-    if (!(Sequence == rhs.Sequence))
-      return false;
-    if (!(IsAnswer == rhs.IsAnswer))
-      return false;
-    if (!(Target == rhs.Target))
-      return false;
-    if (!(OnBehalfOf == rhs.OnBehalfOf))
-      return false;
-    return true;
-  }
-  bool operator != (const Probe &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const Probe & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(Probe &a, Probe &b);
-
-std::ostream& operator<<(std::ostream& out, const Probe& obj);
-
 typedef struct _Datagram__isset {
-  _Datagram__isset() : From(false), ConfigVersion(false), ProbePart(false), Members(false), WantsAll(false) {}
+  _Datagram__isset() : From(false), Members(false) {}
   bool From :1;
-  bool ConfigVersion :1;
-  bool ProbePart :1;
   bool Members :1;
-  bool WantsAll :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -967,44 +838,25 @@
   Datagram(const Datagram&);
   Datagram& operator=(const Datagram&);
   Datagram() noexcept
-           : From(),
-             ConfigVersion(0),
-             WantsAll(0) {
+           : From() {
   }
 
   virtual ~Datagram() noexcept;
   std::string From;
-  int64_t ConfigVersion;
-  Probe ProbePart;
   std::vector<MemberState>  Members;
-  bool WantsAll;
 
   _Datagram__isset __isset;
 
   void __set_From(const std::string& val);
 
-  void __set_ConfigVersion(const int64_t val);
-
-  void __set_ProbePart(const Probe& val);
-
   void __set_Members(const std::vector<MemberState> & val);
 
-  void __set_WantsAll(const bool val);
-
   bool operator == (const Datagram & rhs) const
   {
     if (!(From == rhs.From))
       return false;
-    if (!(ConfigVersion == rhs.ConfigVersion))
-      return false;
-    if (__isset.ProbePart != rhs.__isset.ProbePart)
-      return false;
-    else if (__isset.ProbePart && !(ProbePart == rhs.ProbePart))
-      return false;
     if (!(Members == rhs.Members))
       return false;
-    if (!(WantsAll == rhs.WantsAll))
-      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/Source/Core/Wire/Zinnia.thrift
+++ b/Source/Core/Wire/Zinnia.thrift
@@ -48,15 +48,11 @@
   2: bool IsAnswer,
 }
 
-struct ConfigWanted {
-  1: i64 AboveVersion,
-}
-
-struct ConfigOffer {
-  1: i64 Version,
-  2: i32 RuleLevel,
-  3: binary CompressedSet,
-  4: i64 Hash,
+// A message for the service of that name on the other node. What is inside is
+// encoded by the module the service belongs to.
+struct Envelope {
+  1: string Service,
+  2: binary Content,
 }
 
 union Frame {
@@ -65,8 +61,7 @@
   3: CallReply Reply,
   4: CancelCall Cancel,
   5: Echo EchoFrame,
-  6: ConfigWanted Wanted,
-  7: ConfigOffer Offer,
+  6: Envelope EnvelopeFrame,
 }
 
 // A record on the platform's log.
@@ -93,23 +88,14 @@
   3: string Address,
   4: i32 PeerPort,
   5: i32 MemberPort,
-  6: i64 Incarnation,
-  7: i32 Health,
-  8: list<EndpointState> Endpoints,
-  9: i64 ConfigVersion,
-}
-
-struct Probe {
-  1: i64 Sequence,
-  2: bool IsAnswer,
-  3: string Target,
-  4: string OnBehalfOf,
+  6: i32 ControlPort,
+  7: i64 Incarnation,
+  8: i32 Health,
+  9: list<EndpointState> Endpoints,
+  10: i64 ConfigVersion,
 }
 
 struct Datagram {
   1: string From,
-  2: i64 ConfigVersion,
-  3: optional Probe ProbePart,
-  4: list<MemberState> Members,
-  5: bool WantsAll,
+  2: list<MemberState> Members,
 }
--- a/Source/Programs/zinnia-load/LoadRun.cpp
+++ b/Source/Programs/zinnia-load/LoadRun.cpp
@@ -33,8 +33,8 @@
     NextDue += Interval;
   }
   if (NextDue < EndsAt) {
-    Home.after(NextDue - std::chrono::steady_clock::now(),
-               [this] { sendDue(); });
+    Clock.after(NextDue - std::chrono::steady_clock::now(),
+                [this] { sendDue(); });
     return;
   }
   AllSent = true;
--- a/Source/Programs/zinnia-load/LoadRun.h
+++ b/Source/Programs/zinnia-load/LoadRun.h
@@ -68,6 +68,7 @@
   void finishIfDone();
 
   Kernel::Task &Home;
+  Kernel::Timers Clock{Home};
   LoadOptions Options;
   std::function<void(LoadReport)> OnDone;
   Http::Client Transport;
--- a/Source/StandIns/Backend/BackendServer.cpp
+++ b/Source/StandIns/Backend/BackendServer.cpp
@@ -57,7 +57,7 @@
 }
 
 void BackendServer::announce() {
-  Home.after(AnnounceInterval, [this] { announce(); });
+  Clock.after(AnnounceInterval, [this] { announce(); });
   if (Options.NodeAdmin.empty() || Faults.Silent || !ToNode)
     return;
   Http::ClientRequest Asked;
@@ -95,7 +95,7 @@
   if (Work.count() == 0)
     finish(Id, CallerId);
   else
-    Home.after(Work, [this, Id, CallerId] { finish(Id, CallerId); });
+    Clock.after(Work, [this, Id, CallerId] { finish(Id, CallerId); });
 }
 
 void BackendServer::finish(Http::ExchangeId Id, const std::string &CallerId) {
--- a/Source/StandIns/Backend/BackendServer.h
+++ b/Source/StandIns/Backend/BackendServer.h
@@ -69,6 +69,7 @@
   };
 
   Kernel::Task &Home;
+  Kernel::Timers Clock{Home};
   BackendOptions Options;
   BackendFaults Faults;
   std::mt19937_64 Random;
--- a/Source/StandIns/Log/LogService.cpp
+++ b/Source/StandIns/Log/LogService.cpp
@@ -72,7 +72,7 @@
 
 void LogService::expireAll() {
   Store.expire(std::chrono::system_clock::now());
-  Home.after(Common::Millis(100), [this] { expireAll(); });
+  Clock.after(Common::Millis(100), [this] { expireAll(); });
 }
 
 void LogService::takeRequest(Http::ExchangeId Id, const Http::Request &Asked) {
@@ -96,7 +96,7 @@
     Listener->answer(Id, std::move(Reply));
     return;
   }
-  Home.after(Faults.Delay, [this, Id, Late = std::move(Reply)] {
+  Clock.after(Faults.Delay, [this, Id, Late = std::move(Reply)] {
     if (Listener)
       Listener->answer(Id, Late);
   });
@@ -122,7 +122,7 @@
     answerRead(Id, Stream, From);
     return;
   }
-  const Kernel::TimerId Timer = Home.after(Wait, [this, Id] {
+  const Kernel::TimerId Timer = Clock.after(Wait, [this, Id] {
     const auto Found = std::find_if(
         Waiting.begin(), Waiting.end(),
         [Id](const WaitingRead &Each) { return Each.Exchange == Id; });
@@ -161,7 +161,7 @@
     return true;
   });
   for (const WaitingRead &Each : Woken) {
-    Home.cancel(Each.Timer);
+    Clock.cancel(Each.Timer);
     answerRead(Each.Exchange, Each.Stream, Each.From);
   }
 }
--- a/Source/StandIns/Log/LogService.h
+++ b/Source/StandIns/Log/LogService.h
@@ -62,6 +62,7 @@
   void expireAll();
 
   Kernel::Task &Home;
+  Kernel::Timers Clock{Home};
   std::string Address;
   int Port;
   LogStore Store;
--- a/Source/UnitTests/Kernel/TaskTests.cpp
+++ b/Source/UnitTests/Kernel/TaskTests.cpp
@@ -27,17 +27,35 @@
 BOOST_AUTO_TEST_CASE(FiresTimersInOrderAndNotTheCancelled) {
   Kernel::Task Worker("t");
   Worker.spawn();
+  Kernel::Timers Clock(Worker);
   std::promise<std::string> Ended;
   std::string Seen;
   Worker.runAndWait([&] {
-    Worker.after(Millis(20), [&] { Ended.set_value(Seen); });
-    Worker.after(Millis(10), [&] { Seen += "b"; });
-    Worker.after(Common::Micros(300), [&] { Seen += "a"; });
-    Worker.cancel(Worker.after(Millis(5), [&] { Seen += "x"; }));
+    Clock.after(Millis(20), [&] { Ended.set_value(Seen); });
+    Clock.after(Millis(10), [&] { Seen += "b"; });
+    Clock.after(Common::Micros(300), [&] { Seen += "a"; });
+    Clock.cancel(Clock.after(Millis(5), [&] { Seen += "x"; }));
   });
   BOOST_TEST(Ended.get_future().get() == "ab");
 }
 
+// A service's heartbeat that fired after the service had stopped made its node
+// spin for ever in freed memory.
+BOOST_AUTO_TEST_CASE(TimersEndWithTheirOwner) {
+  Kernel::Task Worker("t");
+  Worker.spawn();
+  bool Fired = false;
+  Kernel::Timers Later(Worker);
+  std::promise<void> Ended;
+  Worker.runAndWait([&] {
+    Kernel::Timers Gone(Worker);
+    Gone.after(Millis(1), [&] { Fired = true; });
+    Later.after(Millis(10), [&] { Ended.set_value(); });
+  });
+  Ended.get_future().wait();
+  BOOST_TEST(!Fired);
+}
+
 BOOST_AUTO_TEST_CASE(OutlivesAJobThatThrows) {
   Kernel::Task Worker("t");
   Worker.spawn();
@@ -72,9 +90,10 @@
 BOOST_AUTO_TEST_CASE(UsesNoProcessorTimeWhileItWaits) {
   Kernel::Task Worker("t");
   Worker.spawn();
+  Kernel::Timers Clock(Worker);
   std::promise<void> Ended;
   Worker.runAndWait(
-      [&] { Worker.after(Millis(300), [&] { Ended.set_value(); }); });
+      [&] { Clock.after(Millis(300), [&] { Ended.set_value(); }); });
   timespec Before = {};
   timespec After = {};
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Before);
--- a/Tools/cluster.sh
+++ b/Tools/cluster.sh
@@ -3,12 +3,23 @@
 
 Pids=()
 
-# Ends what was started here, by process id.
+# Ends what was started here, by process id. What does not end in ten seconds is
+# killed, and that is a failure.
 end_all() {
-  local Pid
+  local Pid End=$((SECONDS + 10)) Failed=0
   for Pid in "${Pids[@]}"; do kill -TERM "$Pid" 2>/dev/null || true; done
-  for Pid in "${Pids[@]}"; do wait "$Pid" 2>/dev/null || true; done
+  for Pid in "${Pids[@]}"; do
+    while kill -0 "$Pid" 2>/dev/null && [ $SECONDS -lt $End ]; do
+      sleep 0.05
+    done
+    if kill -KILL "$Pid" 2>/dev/null; then
+      echo "process $Pid did not end" >&2
+      Failed=1
+    fi
+    wait "$Pid" 2>/dev/null || true
+  done
   Pids=()
+  return $Failed
 }
 
 # Prints N free port numbers. They are taken below the range from which the
@@ -56,7 +67,7 @@
   Pids+=($!)
 }
 
-start_node() { # NAME DATA-CENTRE CALL PEER MEMBER ADMIN SEEDS LOG-PORT
+start_node() { # NAME DATA-CENTRE CALL PEER MEMBER ADMIN SEEDS LOG-PORT CONTROL
   cat >"$Run/$1.ini" <<S
 [node]
 name = $1
@@ -69,6 +80,8 @@
 [members]
 port = $5
 seeds = $7
+[control]
+port = $9
 [admin]
 port = $6
 [log]
--- a/Tools/demo.sh
+++ b/Tools/demo.sh
@@ -13,17 +13,18 @@
 Nodes=(leicester-1 leicester-2 leicester-3 derby-1 derby-2 derby-3)
 Services=(price-catalogue price-catalogue trade-in-credit
   price-catalogue price-catalogue trade-in-credit)
-read -ra Ports <<<"$(free_ports 31)"
-LogPort=${Ports[30]}
-Seeds="127.0.0.1:${Ports[2]} 127.0.0.1:${Ports[17]}"
+read -ra Ports <<<"$(free_ports 37)"
+LogPort=${Ports[36]}
+Seeds="127.0.0.1:${Ports[2]} 127.0.0.1:${Ports[20]}"
 
 start_log "$LogPort"
 Admin=() Calls=() Ledgers=()
 for I in "${!Nodes[@]}"; do
-  P=$((I * 5))
+  P=$((I * 6))
   Name=${Nodes[$I]}
   start_node "$Name" "${Name%-*}" "${Ports[$P]}" "${Ports[$((P + 1))]}" \
-    "${Ports[$((P + 2))]}" "${Ports[$((P + 3))]}" "$Seeds" "$LogPort"
+    "${Ports[$((P + 2))]}" "${Ports[$((P + 3))]}" "$Seeds" "$LogPort" \
+    "${Ports[$((P + 5))]}"
   start_backend "server-$Name" "${Services[$I]}" "${Ports[$((P + 4))]}" 6 \
     "${Ports[$((P + 3))]}" 2ms
   Admin+=("127.0.0.1:${Ports[$((P + 3))]}")
@@ -82,5 +83,6 @@
 Sent=$(sed -n 's/^sent //p' "$Run/load.txt")
 Served=$(sed -n 's/^served //p' "$Run/load.txt")
 Doubled=$(sed -n 's/^doubled //p' "$Run/load.txt")
+end_all
 echo "--- lost $((Sent - Served)), doubled $Doubled"
 [ "$Sent" -eq "$Served" ] && [ "$Doubled" -eq 0 ]
