--- a/Source/Core/Common/ResultCode.cpp
+++ b/Source/Core/Common/ResultCode.cpp
@@ -127,6 +127,10 @@
       {ResultCode::FrameTooLarge, "FrameTooLarge",
        "A frame from a peer is over the limit."},
       {ResultCode::LibraryFailed, "LibraryFailed", "A library call failed."},
+      {ResultCode::ScenarioFailed, "ScenarioFailed",
+       "A script is wrong or one of its expectations was not met."},
+      {ResultCode::ExpectationFailed, "ExpectationFailed",
+       "What a script expects did not happen."},
   };
   return Table;
 }
--- a/Source/Core/Common/ResultCode.h
+++ b/Source/Core/Common/ResultCode.h
@@ -87,6 +87,10 @@
   FrameMalformed = 703,
   FrameTooLarge = 704,
   LibraryFailed = 705,
+
+  // 8xx: scenarios.
+  ScenarioFailed = 800,
+  ExpectationFailed = 801,
 };
 
 struct ResultCodeInfo {
