End an HTTP server without aborting the process; serve metrics

Cause of the stand-in's abort(): libmicrohttpd ends the process when its daemon is stopped while a connection is suspended. The server answered those it knew, ran the daemon once more, and in that run a request could be read, handed to the service and suspended again. The new test sends a request that the loop cannot see before the server ends: before, SIGABRT from MHD_stop_daemon; after, it passes. Ruled out: the drain's promise being set twice (the stand-in has none).

Besides, a metrics service keeps the figures of ended calls and the admin page /v1/metrics asks it by message.

--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -92,6 +92,7 @@
   std::unordered_map<ExchangeId, Exchange *> Open;
   ExchangeId NextId = 1;
   bool RunScheduled = false;
+  bool Closing = false;
   std::optional<Kernel::TimerId> Timer;
   // Guards jobs that outlive the server.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
@@ -102,7 +103,9 @@
   Watch.reset();
   if (Timer)
     Clock.cancel(*Timer);
-  // The daemon must not be stopped while a connection is suspended.
+  // The library aborts the process when it is stopped while a connection is
+  // suspended, so from here on none may be.
+  Closing = true;
   for (const auto &[Id, Each] : Open) {
     if (!Each->Suspended)
       continue;
@@ -172,6 +175,8 @@
   }
   if (Current.Reply)
     return sendReply(Current);
+  if (Closing)
+    return MHD_NO;
   if (Current.BodyOverLimit) {
     const auto Code = Common::ResultCode::BodyTooLarge;
     Current.Reply = Response{
--- a/Source/Core/Node/AdminService.h
+++ b/Source/Core/Node/AdminService.h
@@ -18,7 +18,8 @@
 
 // Answers operators, and takes the announcements of the backend server.
 template <Kernel::MessageSink<BackendMessage> Backend,
-          Kernel::MessageSink<MembersMessage> Members>
+          Kernel::MessageSink<MembersMessage> Members,
+          Kernel::MessageSink<MetricsMessage> Metrics>
 class AdminService {
 public:
   using Message = AdminMessage;
@@ -26,6 +27,7 @@
   struct Sinks {
     Backend ToBackend;
     Members ToMembers;
+    Metrics ToMetrics;
   };
 
   AdminService(Kernel::Context Around, const NodeSettings &Settings,
@@ -39,7 +41,7 @@
                    .address(Settings.Address)
                    .port(Settings.AdminPort)
                    .onRequest([this](Http::ExchangeId Id, Http::Request Asked) {
-                     Listener->answer(Id, reply(Asked));
+                     takeRequest(Id, Asked);
                    })
                    .build();
     spdlog::info("operators are served on {}:{}", Settings.Address,
@@ -66,6 +68,19 @@
       Verdicts.pop_front();
   }
 
+  void take(MetricsReady &Part) {
+    Listener->answer(
+        Part.Exchange,
+        {200, {{"content-type", "text/plain"}}, std::move(Part.Page)});
+  }
+
+  void takeRequest(Http::ExchangeId Id, const Http::Request &Asked) {
+    if (Asked.Method == "GET" && Asked.Path == "/v1/metrics")
+      Targets.ToMetrics.post(MetricsWanted{Id});
+    else
+      Listener->answer(Id, reply(Asked));
+  }
+
   Http::Response reply(const Http::Request &Asked) {
     if (Asked.Method == "GET" && Asked.Path == "/v1/status")
       return {200, {{"content-type", "text/plain"}}, statusText()};
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -7,7 +7,9 @@
 #include <vector>
 
 #include "Config/AcceptedHistory.h"
+#include "Http/Server.h"
 #include "Membership/Member.h"
+#include "Report/CallSample.h"
 #include "Routing/Call.h"
 #include "Routing/ServerView.h"
 
@@ -21,6 +23,7 @@
 inline const std::string ControlName = "control";
 inline const std::string ConfigName = "config";
 inline const std::string MembersName = "members";
+inline const std::string MetricsName = "metrics";
 inline const std::string AdminName = "admin";
 
 // The connection a call came by; LocalOrigin is the front of this node.
@@ -120,6 +123,19 @@
 struct RecordJudged {
   Config::Verdict Judged;
 };
-using AdminMessage = std::variant<VersionInForce, ServersChanged, RecordJudged>;
+struct MetricsReady {
+  Http::ExchangeId Exchange = 0;
+  std::string Page;
+};
+using AdminMessage =
+    std::variant<VersionInForce, ServersChanged, RecordJudged, MetricsReady>;
+
+struct CallsEnded {
+  std::vector<Report::CallSample> Samples;
+};
+struct MetricsWanted {
+  Http::ExchangeId Exchange = 0;
+};
+using MetricsMessage = std::variant<CallsEnded, MetricsWanted>;
 
 } // namespace Node
--- a/Source/Core/Node/NodeBuilder.cpp
+++ b/Source/Core/Node/NodeBuilder.cpp
@@ -6,6 +6,7 @@
 #include "Node/ControlService.h"
 #include "Node/FrontService.h"
 #include "Node/MembersService.h"
+#include "Node/MetricsService.h"
 #include "Node/PeersService.h"
 
 namespace Node {
@@ -17,6 +18,7 @@
 using BackendAddress = Kernel::Address<BackendMessage>;
 using MembersAddress = Kernel::Address<MembersMessage>;
 using ConfigAddress = Kernel::Address<ConfigMessage>;
+using MetricsAddress = Kernel::Address<MetricsMessage>;
 using AdminAddress = Kernel::Address<AdminMessage>;
 
 using Front = FrontService<Routing::TwoChoices, PeersAddress, MembersAddress,
@@ -25,7 +27,8 @@
 using BackendTask = BackendService<PeersAddress>;
 using ConfigTask = ConfigService<FrontAddress, AdminAddress>;
 using MembersTask = MembersService<FrontAddress, ConfigAddress, AdminAddress>;
-using AdminTask = AdminService<BackendAddress, MembersAddress>;
+using AdminTask = AdminService<BackendAddress, MembersAddress, MetricsAddress>;
+using MetricsTask = MetricsService<AdminAddress>;
 
 // Calls pass front, peers and backend on one task: each hop between threads
 // costs up to 45 us at p99, of the 760 us that a call may be slowed by.
@@ -82,13 +85,22 @@
                          Around.Services.find<MembersMessage>(MembersName),
                          Around.Services.find<AdminMessage>(AdminName)});
       });
+  Builder.service<MetricsTask>(
+      MetricsName, ControlTask, {}, [](Kernel::Context Around) {
+        return std::make_unique<MetricsTask>(
+            Around, [&Services = Around.Services] {
+              return Services.find<AdminMessage>(AdminName);
+            });
+      });
   Builder.service<AdminTask>(
-      AdminName, ControlTask, {FrontName}, [Own](Kernel::Context Around) {
+      AdminName, ControlTask, {FrontName, MetricsName},
+      [Own](Kernel::Context Around) {
         return std::make_unique<AdminTask>(
             Around, Own, [&Services = Around.Services] {
               return AdminTask::Sinks{
                   Services.find<BackendMessage>(BackendName),
-                  Services.find<MembersMessage>(MembersName)};
+                  Services.find<MembersMessage>(MembersName),
+                  Services.find<MetricsMessage>(MetricsName)};
             });
       });
   Builder.service<ControlService>(
--- a/Source/UnitTests/Http/HttpTests.cpp
+++ b/Source/UnitTests/Http/HttpTests.cpp
@@ -132,6 +132,38 @@
   BOOST_TEST(!Got.MayHaveRun);
 }
 
+// The library aborts the process when a server ends with a suspended request. A
+// request that is read while the server ends must not be taken any more.
+BOOST_AUTO_TEST_CASE(EndsWhileARequestArrives) {
+  Loopback Both;
+  std::vector<Http::ExchangeId> Held;
+  Both.OnRequest = [&](Http::ExchangeId Id, const auto &) {
+    Held.push_back(Id);
+    if (Held.size() == 1)
+      Both.Listener->answer(Id, {200, {}, ""});
+  };
+  const Common::UniqueFd Caller(::socket(AF_INET, SOCK_STREAM, 0));
+  sockaddr_in Where = {};
+  Where.sin_family = AF_INET;
+  Where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  Where.sin_port = htons(static_cast<std::uint16_t>(Both.Listener->port()));
+  BOOST_REQUIRE(::connect(Caller.value(), reinterpret_cast<sockaddr *>(&Where),
+                          sizeof Where) == 0);
+  const std::string Asked = "GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+  const auto Send = [&] {
+    return ::write(Caller.value(), Asked.data(), Asked.size()) > 0;
+  };
+  BOOST_REQUIRE(Send());
+  char Byte = 0;
+  BOOST_REQUIRE(::read(Caller.value(), &Byte, 1) == 1);
+  // The loop can't see the second request before the server ends.
+  Both.Worker.runAndWait([&] {
+    BOOST_REQUIRE(Send());
+    Both.Listener.reset();
+  });
+  BOOST_TEST(Held.size() == 1);
+}
+
 namespace {
 
 // Answers the first request of each connection and then, on the next request,
