Choose by what calls show, and bound retries and hedges by a budget

Cause: the near side chose by own calls in flight and the last report alone, whatever its age. A server slowed ten times went on getting its share, retries had no bound but a count for each call, which 17 hops multiply, and hedges did not exist.

- AdaptiveChoice: the better of two different random servers by smoothed latency, own calls in flight, and reports that lose weight within a second.
An attempt that still waits counts as latency already.
Stragglers and failing servers are set aside, at most a third, with probation; new servers start slowly; calls spill over when waiting here takes longer than the way there.
- RetryBudget: retries and hedges take from a share of first attempts, not-run refusals too.
Below a retry nothing is retried again, so a chain adds to the attempts and does not multiply them.
- Hedges for short idempotent kinds after the 95th percentile of first attempts.
- An overtaken attempt counts as twice its wait.
- Attempts are indexed by node, open calls are bounded, and deadlines below what nine of ten calls take are refused at once.

Two faults found on the way: a call whose first attempt may have run, and whose retry was refused, was answered as not run; and a call that could not be posted to the peers ended as 700, which reads as "outcome unknown".

--- a/Source/Core/Node/FrontService.h
+++ b/Source/Core/Node/FrontService.h
@@ -32,7 +32,7 @@
   FrontService(Kernel::Context Around, const NodeSettings &Settings,
                Policy Choice, Sinks Targets)
       : Home(Around.Home), Settings(Settings), Targets(std::move(Targets)),
-        Calls(Settings.DataCentre, std::move(Choice)) {}
+        Calls(Settings.DataCentre, std::move(Choice), Settings.OpenCallLimit) {}
 
   void start() {
     Listener = Http::ServerBuilder(Home)
@@ -49,7 +49,7 @@
 
   void handle(Message Content) {
     std::visit([this](auto &Part) { this->take(Part); }, Content);
-    armDeadline();
+    armTimer();
   }
 
   // Each caller gets its answer before the node goes.
@@ -70,7 +70,7 @@
     Targets.ToAdmin.post(VersionInForce{Part.Newest.Number});
     Targets.ToMembers.post(VersionInForce{Part.Newest.Number});
   }
-  void take(ServersChanged &Part) { Calls.useServers(Part.Servers); }
+  void take(ServersChanged &Part) { Calls.useServers(Part.Servers, now()); }
   void take(ReplyArrived &Part) { act(Calls.reply(Part.Reply, now())); }
   void take(NodeLost &Part) { act(Calls.connectionLost(Part.Address, now())); }
 
@@ -88,7 +88,7 @@
       return;
     }
     act(Calls.begin(std::move(Start), now()));
-    armDeadline();
+    armTimer();
   }
 
   void act(const Routing::DispatchActions &Actions) {
@@ -103,7 +103,8 @@
       return;
     Routing::CallReply Refused;
     Refused.Attempt = Part.Request.Attempt;
-    Refused.Result = Common::ResultCode::MailboxFull;
+    // It never left this node, so it did not run.
+    Refused.Result = Common::ResultCode::QueueFull;
     act(Calls.reply(Refused, now()));
   }
   void perform(const Routing::CancelAttempt &Part) {
@@ -121,8 +122,8 @@
     finishDrain();
   }
 
-  void armDeadline() {
-    const auto Next = Calls.nextDeadline();
+  void armTimer() {
+    const auto Next = Calls.nextDue();
     if (!Next || (Timer && ArmedFor <= *Next))
       return;
     if (Timer)
@@ -130,8 +131,8 @@
     ArmedFor = *Next;
     Timer = Clock.after(*Next - now(), [this] {
       Timer.reset();
-      act(Calls.expire(now()));
-      armDeadline();
+      act(Calls.runDue(now()));
+      armTimer();
     });
   }
 
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -1,6 +1,7 @@
 #include "Node/NodeSettings.h"
 
 #include <charconv>
+#include <map>
 #include <sstream>
 
 #include "Common/Error.h"
@@ -29,6 +30,20 @@
   return Seed;
 }
 
+ChoiceName parseChoice(const std::string &Text) {
+  static const std::map<std::string, ChoiceName> Names = {
+      {"ours", ChoiceName::Ours},
+      {"two-choices", ChoiceName::TwoChoices},
+      {"least-requests", ChoiceName::LeastRequests},
+      {"round-robin", ChoiceName::RoundRobin},
+      {"random", ChoiceName::Random}};
+  const auto Found = Names.find(Text);
+  if (Found == Names.end())
+    throw Common::Error(Common::ResultCode::SettingsWrongType,
+                        "[calls] choice: " + Text + " is no choice policy");
+  return Found->second;
+}
+
 } // namespace
 
 const std::vector<Common::SettingRule> &nodeSettingRules() {
@@ -46,6 +61,11 @@
        "HTTP port for callers; 0 takes a free one"},
       {"calls", "body-limit", SettingType::Integer, "1048576", 1024, 8 << 20,
        "largest body of a request, in bytes"},
+      {"calls", "open-limit", SettingType::Integer, "20000", 1, 1'000'000,
+       "calls at a time; more are refused as not run"},
+      {"calls", "choice", SettingType::Text, "ours", 0, 0,
+       "how a backend server is chosen: ours, two-choices, least-requests, "
+       "round-robin or random"},
       {"peers", "port", SettingType::Integer, "0", 0, MaxPort,
        "TCP port for other nodes"},
       {"members",
@@ -98,6 +118,9 @@
   Result.CallPort = static_cast<int>(From.integer("calls", "port"));
   Result.BodyLimit =
       static_cast<std::size_t>(From.integer("calls", "body-limit"));
+  Result.OpenCallLimit =
+      static_cast<std::size_t>(From.integer("calls", "open-limit"));
+  Result.Choice = parseChoice(From.text("calls", "choice"));
   Result.PeerPort = static_cast<int>(From.integer("peers", "port"));
   Result.MemberPort = static_cast<int>(From.integer("members", "port"));
   Result.ControlPort = static_cast<int>(From.integer("control", "port"));
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -16,6 +16,9 @@
   int Port = 0;
 };
 
+// The policies by which a near node chooses a backend server.
+enum class ChoiceName { Ours, TwoChoices, LeastRequests, RoundRobin, Random };
+
 struct NodeSettings {
   std::string Name;
   std::string DataCentre;
@@ -26,6 +29,8 @@
   int ControlPort = 0;
   int AdminPort = 0;
   std::size_t BodyLimit = 0;
+  std::size_t OpenCallLimit = 0;
+  ChoiceName Choice = ChoiceName::Ours;
   std::vector<SeedAddress> Seeds;
   Common::Micros HeartbeatInterval{0};
   Common::Micros FailureLimit{0};
@@ -37,7 +42,8 @@
   Common::Micros LogWait{0};
 };
 
-// Throws SettingsWrongType for a seed that is no "IP:port".
+// Throws SettingsWrongType for a seed that is no "IP:port" and for an unknown
+// choice policy.
 NodeSettings readNodeSettings(const Common::Settings &From);
 
 } // namespace Node
--- a/Source/Core/Routing/ChoicePolicy.cpp
+++ b/Source/Core/Routing/ChoicePolicy.cpp
@@ -7,12 +7,11 @@
 namespace {
 
 double expectedWait(const ServerEntry &Server, const ServerRecords &Records) {
-  const auto Found = Records.find(Server.Server);
-  if (Found == Records.end())
+  const ServerRecord *Record = Records.find(Server.Server);
+  if (!Record)
     return 0;
-  const ServerRecord &Record = Found->second;
-  const double Work = Record.OwnInFlight + Record.Reported.Queued +
-                      0.5 * Record.Reported.BusySlots;
+  const double Work = Record->OwnInFlight + Record->Reported.Queued +
+                      0.5 * Record->Reported.BusySlots;
   return Work / std::max(Server.Slots, 1);
 }
 
@@ -45,6 +44,24 @@
   return Eligible[Next++ % Eligible.size()];
 }
 
+std::optional<std::size_t> LeastRequests::choose(const ChoiceInput &Input) {
+  std::vector<std::size_t> Eligible = eligibleServers(Input);
+  if (Eligible.empty())
+    return std::nullopt;
+  // Among equals the first wins, so their order has to be random.
+  std::shuffle(Eligible.begin(), Eligible.end(), Random);
+  const auto Load = [&](std::size_t Index) {
+    const ServerEntry &Server = Input.Servers[Index];
+    const ServerRecord *Record = Input.Records.find(Server.Server);
+    return Record ? static_cast<double>(Record->OwnInFlight) /
+                        std::max(Server.Slots, 1)
+                  : 0.0;
+  };
+  return *std::min_element(
+      Eligible.begin(), Eligible.end(),
+      [&](std::size_t A, std::size_t B) { return Load(A) < Load(B); });
+}
+
 std::optional<std::size_t> TwoChoices::choose(const ChoiceInput &Input) {
   const std::vector<std::size_t> Eligible = eligibleServers(Input);
   if (Eligible.empty())
--- a/Source/Core/Routing/ChoicePolicy.h
+++ b/Source/Core/Routing/ChoicePolicy.h
@@ -6,30 +6,23 @@
 #include <random>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "Common/Time.h"
+#include "Routing/ServerRecords.h"
 #include "Routing/ServerView.h"
 
 namespace Routing {
 
-// What a near node has learnt about one server by calling it.
-struct ServerRecord {
-  int OwnInFlight = 0;
-  ServerLoad Reported;
-  Common::Micros SmoothedLatency{0};
-};
-
-using ServerRecords = std::unordered_map<std::string, ServerRecord>;
-
 struct ChoiceInput {
   const std::vector<ServerEntry> &Servers;
-  const ServerRecords &Records;
+  // Policies keep there which servers they have set aside.
+  ServerRecords &Records;
   const std::string &OwnDataCentre;
   // Servers that failed an earlier attempt of the same call.
   const std::set<std::string> &Excluded;
   Common::SteadyTime Now;
+  bool LongLane = false;
 };
 
 // Chooses the index of a server, or none.
@@ -58,6 +51,16 @@
   std::size_t Next = 0;
 };
 
+// The server with the fewest own calls in flight for each slot.
+class LeastRequests {
+public:
+  explicit LeastRequests(std::uint64_t Seed) : Random(Seed) {}
+  std::optional<std::size_t> choose(const ChoiceInput &Input);
+
+private:
+  std::mt19937_64 Random;
+};
+
 // The better of two random servers by own calls in flight and reported queue,
 // for each slot. Two choices keep near nodes from herding to one server.
 class TwoChoices {
--- /dev/null
+++ b/Source/Core/Routing/ServerRecords.cpp
@@ -0,0 +1,109 @@
+#include "Routing/ServerRecords.h"
+
+#include <algorithm>
+
+namespace Routing {
+
+namespace {
+
+constexpr double RisingWeight = 0.3;
+constexpr double FallingWeight = 0.1;
+// An attempt that was given up would have taken longer than it was waited for.
+constexpr int GivenUpFactor = 2;
+constexpr int FirstServerError = 500;
+
+void addLatency(LaneRecord &Lane, Common::Micros Latency,
+                Common::SteadyTime Now) {
+  const double Weight =
+      Latency > Lane.SmoothedLatency ? RisingWeight : FallingWeight;
+  if (Lane.Answers == 0)
+    Lane.SmoothedLatency = Latency;
+  else
+    Lane.SmoothedLatency += std::chrono::duration_cast<Common::Micros>(
+        Weight * (Latency - Lane.SmoothedLatency));
+  Lane.MeasuredAt = Now;
+  ++Lane.Answers;
+}
+
+// A fast error must not make a server look fast. A full queue is load and no
+// failure: setting servers aside for it would add to the load of the others.
+bool isFailure(const CallReply &Reply) {
+  using Common::ResultCode;
+  if (Reply.Result == ResultCode::Ok)
+    return Reply.HttpStatus >= FirstServerError;
+  return Reply.Result == ResultCode::ServerShed ||
+         Reply.Result == ResultCode::PeerUnreachable ||
+         Reply.Result == ResultCode::OutcomeUnknown ||
+         Reply.Result == ResultCode::ConnectionLost;
+}
+
+void takeReply(ServerRecord &Record, LaneRecord &Lane, const CallReply &Reply,
+               Common::Micros Latency, Common::SteadyTime Now) {
+  if (Reply.Load.Slots > 0) {
+    Record.Reported = Reply.Load;
+    Record.ReportedAt = Now;
+    Record.OwnInFlightAtReport = Record.OwnInFlight;
+  }
+  if (isFailure(Reply)) {
+    ++Record.ConsecutiveFailures;
+    Record.LastFailure = Now;
+  } else if (Reply.Result == Common::ResultCode::Ok) {
+    Record.ConsecutiveFailures = 0;
+    addLatency(Lane, Latency, Now);
+  }
+}
+
+} // namespace
+
+void ServerRecords::useServers(const ServerView &View, Common::SteadyTime Now) {
+  std::set<std::string> Live;
+  for (const auto &[Service, Servers] : View.ByService)
+    for (const ServerEntry &Each : Servers) {
+      Live.insert(Each.Server);
+      const auto [At, IsNew] = Records.try_emplace(Each.Server);
+      if (IsNew)
+        At->second.FirstSeen = Now;
+    }
+  std::erase_if(Records, [&](const auto &Each) {
+    return Each.second.OwnInFlight == 0 && !Live.contains(Each.first);
+  });
+}
+
+void ServerRecords::attemptSent(const std::string &Server, bool LongLane,
+                                Common::SteadyTime Now) {
+  ServerRecord &Record = Records[Server];
+  ++Record.OwnInFlight;
+  Record.lane(LongLane).InFlight.insert(Now);
+}
+
+void ServerRecords::attemptEnded(const std::string &Server,
+                                 const AttemptOutcome &Outcome,
+                                 Common::SteadyTime Now) {
+  const auto Found = Records.find(Server);
+  if (Found == Records.end())
+    return;
+  ServerRecord &Record = Found->second;
+  LaneRecord &Lane = Record.lane(Outcome.LongLane);
+  --Record.OwnInFlight;
+  const auto Sent = Lane.InFlight.find(Outcome.SentAt);
+  if (Sent != Lane.InFlight.end())
+    Lane.InFlight.erase(Sent);
+  const auto Latency =
+      std::chrono::duration_cast<Common::Micros>(Now - Outcome.SentAt);
+  if (Outcome.Reply)
+    takeReply(Record, Lane, *Outcome.Reply, Latency, Now);
+  else if (Latency > Lane.SmoothedLatency)
+    addLatency(Lane, GivenUpFactor * Latency, Now);
+}
+
+const ServerRecord *ServerRecords::find(const std::string &Server) const {
+  const auto Found = Records.find(Server);
+  return Found == Records.end() ? nullptr : &Found->second;
+}
+
+ServerRecord *ServerRecords::find(const std::string &Server) {
+  const auto Found = Records.find(Server);
+  return Found == Records.end() ? nullptr : &Found->second;
+}
+
+} // namespace Routing
--- /dev/null
+++ b/Source/UnitTests/Routing/AdaptiveChoiceTests.cpp
@@ -0,0 +1,121 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Routing/AdaptiveChoice.h"
+
+BOOST_AUTO_TEST_SUITE(AdaptiveChoices)
+
+namespace {
+
+using Common::Micros;
+using Common::Millis;
+using namespace Routing;
+
+struct Fixture {
+  AdaptiveChoice Choice{7};
+  ServerRecords Records;
+  std::vector<ServerEntry> Servers;
+  std::set<std::string> Excluded;
+  Common::SteadyTime Now{Millis(1'000'000)};
+
+  void add(const std::string &Name, const std::string &DataCentre,
+           int Slots = 6) {
+    Servers.push_back({Name, Name, DataCentre, Slots});
+    ServerView View;
+    View.ByService["s"] = Servers;
+    Records.useServers(View, Now);
+  }
+  void settle() { Now += Millis(20'000); }
+  std::string choose() {
+    const auto Index = Choice.choose({Servers, Records, "here", Excluded, Now});
+    return Index ? Servers[*Index].Server : "";
+  }
+  void answer(const std::string &Name, Millis Latency, int Status = 200,
+              ServerLoad Load = {}) {
+    Records.attemptSent(Name, false, Now - Latency);
+    CallReply Reply;
+    Reply.HttpStatus = Status;
+    Reply.Load = Load;
+    Records.attemptEnded(Name, {Now - Latency, false, &Reply}, Now);
+  }
+  std::map<std::string, int> count(int Choices) {
+    std::map<std::string, int> Result;
+    for (int Index = 0; Index < Choices; ++Index)
+      ++Result[choose()];
+    return Result;
+  }
+  void addFive() {
+    for (const char *Name : {"a", "b", "c", "d", "e"})
+      add(Name, "here");
+    settle();
+    for (const ServerEntry &Each : Servers)
+      answer(Each.Server, Millis(5));
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(SpillsOverOnlyWhenWaitingHereTakesLonger, Fixture) {
+  add("near", "here");
+  add("far", "there");
+  settle();
+  answer("near", Millis(5));
+  for (int Calls = 0; Calls < 12; ++Calls) {
+    BOOST_TEST(choose() == "near");
+    Records.attemptSent("near", false, Now);
+  }
+  for (int Calls = 0; Calls < 12; ++Calls)
+    Records.attemptSent("near", false, Now);
+  BOOST_TEST(choose() == "far");
+}
+
+BOOST_FIXTURE_TEST_CASE(SetsAsideAtMostAThird, Fixture) {
+  addFive();
+  for (const char *Name : {"a", "b"})
+    for (int Count = 0; Count < 5; ++Count)
+      answer(Name, Millis(100));
+  choose();
+  BOOST_TEST(Records.find("a")->OnProbation != Records.find("b")->OnProbation);
+}
+
+BOOST_FIXTURE_TEST_CASE(FastErrorsDoNotAttractCalls, Fixture) {
+  addFive();
+  for (int Count = 0; Count < 3; ++Count)
+    answer("a", Millis(0), 500);
+  BOOST_TEST(count(1000)["a"] == 0);
+  // After its time aside one call at a time finds out whether it has mended.
+  Now += Millis(600);
+  BOOST_TEST(count(1000)["a"] > 0);
+  Records.attemptSent("a", false, Now);
+  BOOST_TEST(count(1000)["a"] == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(NoticesASlowServerBeforeItsFirstAnswer, Fixture) {
+  addFive();
+  Records.attemptSent("a", false, Now);
+  Now += Millis(40);
+  BOOST_TEST(count(1000)["a"] == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(LyingReportsDoNotAttractAllCalls, Fixture) {
+  addFive();
+  add("liar", "here", 1000);
+  settle();
+  for (const ServerEntry &Each : Servers)
+    answer(Each.Server, Millis(5), 200, {6, 6, 6});
+  answer("liar", Millis(5), 200, {0, 0, 1000});
+  BOOST_TEST(count(6000)["liar"] < 2600);
+  for (int Count = 0; Count < 3; ++Count)
+    answer("liar", Millis(30), 200, {0, 0, 1000});
+  BOOST_TEST(count(6000)["liar"] == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(NewServersStartSlowly, Fixture) {
+  addFive();
+  add("new", "here");
+  Now += Millis(1'000);
+  BOOST_TEST(count(6000)["new"] < 300);
+  settle();
+  BOOST_TEST(count(6000)["new"] > 700);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Routing/DispatcherTests.cpp
+++ b/Source/UnitTests/Routing/DispatcherTests.cpp
@@ -35,7 +35,7 @@
                             {"s2", "10.0.0.2:1", "here", 6},
                             {"s3", "10.0.0.3:1", "there", 6}};
     View->ByService["spare"] = {{"p1", "10.0.0.4:1", "here", 6}};
-    Calls.useServers(View);
+    Calls.useServers(View, Now);
   }
 
   DispatchActions begin(CallId Id, const std::string &Path) {
@@ -117,8 +117,8 @@
 
 BOOST_FIXTURE_TEST_CASE(EndsAtTheDeadlineAndCancels, Fixture) {
   const auto First = sent(begin(1, "/read"));
-  BOOST_TEST((Calls.nextDeadline() == Now + Millis(1000)));
-  const auto Actions = Calls.expire(Now + Millis(1000));
+  BOOST_TEST((Calls.nextDue() == Now + Millis(1000)));
+  const auto Actions = Calls.runDue(Now + Millis(1000));
   BOOST_REQUIRE_EQUAL(Actions.size(), 2);
   BOOST_TEST(std::get<CancelAttempt>(Actions[0]).Attempt ==
              First.Request.Attempt);
