--- a/Source/Core/Node/NodeBuilder.cpp
+++ b/Source/Core/Node/NodeBuilder.cpp
@@ -7,6 +7,7 @@
 #include "Node/FrontService.h"
 #include "Node/MembersService.h"
 #include "Node/PeersService.h"
+#include "Routing/AdaptiveChoice.h"
 
 namespace Node {
 
@@ -19,8 +20,8 @@
 using ConfigAddress = Kernel::Address<ConfigMessage>;
 using AdminAddress = Kernel::Address<AdminMessage>;
 
-using Front = FrontService<Routing::TwoChoices, PeersAddress, MembersAddress,
-                           AdminAddress>;
+template <Routing::ChoicePolicy Policy>
+using Front = FrontService<Policy, PeersAddress, MembersAddress, AdminAddress>;
 using PeersTask = PeersService<FrontAddress, BackendAddress>;
 using BackendTask = BackendService<PeersAddress>;
 using ConfigTask = ConfigService<FrontAddress, AdminAddress>;
@@ -43,6 +44,37 @@
           }};
 }
 
+template <Routing::ChoicePolicy Policy>
+void addFront(Kernel::HostBuilder &Builder, const NodeSettings &Own,
+              Policy Choice) {
+  Builder.service<Front<Policy>>(
+      FrontName, CallTask, {PeersName, BackendName},
+      [Own, Choice](Kernel::Context Around) {
+        return std::make_unique<Front<Policy>>(
+            Around, Own, Choice,
+            typename Front<Policy>::Sinks{
+                Around.Services.find<PeersMessage>(PeersName),
+                Around.Services.find<MembersMessage>(MembersName),
+                Around.Services.find<AdminMessage>(AdminName)});
+      });
+}
+
+void addChosenFront(Kernel::HostBuilder &Builder, const NodeSettings &Own) {
+  const std::uint64_t Seed = std::random_device{}();
+  switch (Own.Choice) {
+  case ChoiceName::Ours:
+    return addFront(Builder, Own, Routing::AdaptiveChoice(Seed));
+  case ChoiceName::TwoChoices:
+    return addFront(Builder, Own, Routing::TwoChoices(Seed));
+  case ChoiceName::LeastRequests:
+    return addFront(Builder, Own, Routing::LeastRequests(Seed));
+  case ChoiceName::RoundRobin:
+    return addFront(Builder, Own, Routing::RoundRobinChoice());
+  case ChoiceName::Random:
+    return addFront(Builder, Own, Routing::RandomChoice(Seed));
+  }
+}
+
 } // namespace
 
 NodeBuilder &NodeBuilder::settings(NodeSettings Value) {
@@ -73,15 +105,7 @@
               return Services.find<PeersMessage>(PeersName);
             });
       });
-  Builder.service<Front>(
-      FrontName, CallTask, {PeersName, BackendName},
-      [Own](Kernel::Context Around) {
-        return std::make_unique<Front>(
-            Around, Own, Routing::TwoChoices(std::random_device{}()),
-            Front::Sinks{Around.Services.find<PeersMessage>(PeersName),
-                         Around.Services.find<MembersMessage>(MembersName),
-                         Around.Services.find<AdminMessage>(AdminName)});
-      });
+  addChosenFront(Builder, Own);
   Builder.service<AdminTask>(
       AdminName, ControlTask, {FrontName}, [Own](Kernel::Context Around) {
         return std::make_unique<AdminTask>(
