Admit short and long calls from lanes of their own

Cause: one FIFO queue let long calls take every slot, served the oldest calls first under overload (those least likely to be in time), let one caller fill the queue, and ran calls that could not end in time.

SlotQueue is now a template over a WaitingOrder. LaneOrder reserves slots for short calls, takes callers in turn, serves the newest first in a lane that has not been empty for 100 ms, refuses early what cannot end in time, and moves a kind that runs long to the long lane's limits. FifoOrder is the queue of before; [calls] admission chooses. What the server does outweighs its announcement: the slots that are used halve when it sheds or cannot be reached. A request that may have waited through a pause of the VM has the pause taken from its time left.

Ruled out: a fixed reserve alone (it is too small when short demand is high, so the reserve also follows the short calls' mean and deviation); moving a kind at once when one call is slow (a stall of the whole server would move every kind, so the median of late calls must be passed eightfold by the smoothed time); cutting off cancelled non-idempotent calls (their effect would be in doubt).

--- /dev/null
+++ b/Source/Core/Admission/Ticket.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "Common/ResultCode.h"
+#include "Common/Time.h"
+
+namespace Admission {
+
+// Names a call at its far node.
+using TicketId = std::uint64_t;
+
+struct Ticket {
+  TicketId Id = 0;
+  bool LongLane = false;
+  Common::SteadyTime Deadline;
+  std::string Caller;
+  std::string Kind;
+  // Set by the queue.
+  Common::SteadyTime Arrived;
+};
+
+struct RunningCall {
+  Ticket Admitted;
+  Common::SteadyTime StartedAt;
+};
+
+// The slots of a backend server and the calls that hold them.
+struct SlotUse {
+  int Slots = 0;
+  const std::unordered_map<TicketId, RunningCall> &Running;
+
+  bool hasFreeSlot() const {
+    return Running.size() < static_cast<std::size_t>(Slots);
+  }
+};
+
+// Actions that the decision asks of the service around it.
+struct RunCall {
+  TicketId Id = 0;
+};
+struct RefuseCall {
+  TicketId Id = 0;
+  Common::ResultCode Code = Common::ResultCode::QueueFull;
+};
+using AdmissionAction = std::variant<RunCall, RefuseCall>;
+using AdmissionActions = std::vector<AdmissionAction>;
+
+// How a call left its slot.
+enum class Ending {
+  Answered,
+  // Cancelled, or without an answer until its deadline.
+  CutOff,
+  // The backend server shed it or could not be reached.
+  NotRun,
+};
+
+} // namespace Admission
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -7,6 +7,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "Admission/LaneOrder.h"
+#include "Admission/PauseWatch.h"
 #include "Admission/SlotQueue.h"
 #include "Http/Client.h"
 #include "Kernel/Host.h"
@@ -18,7 +20,9 @@
 
 // The far side of calls: admits them to the slots of the backend server beside
 // this node and passes them on over HTTP.
-template <Kernel::MessageSink<PeersMessage> Peers> class BackendService {
+template <Kernel::MessageSink<PeersMessage> Peers,
+          Admission::WaitingOrder Order = Admission::LaneOrder>
+class BackendService {
 public:
   using Message = BackendMessage;
 
@@ -30,6 +34,7 @@
   void start() {
     ToPeers = FindPeers();
     Transport = std::make_unique<Http::Client>(Home);
+    watchPauses();
   }
 
   void handle(Message Content) {
@@ -65,16 +70,22 @@
     Call.Origin = Part.Origin;
     Call.Request = std::move(Part.Request);
     Call.Arrived = now();
-    Call.Deadline = Call.Arrived + Call.Request.Remaining;
+    // The time left is counted from when the request left the near node.
+    Call.Deadline =
+        Call.Arrived + Call.Request.Remaining - Pauses.pause(Call.Arrived);
     Tickets.emplace(AttemptKey(Call.Origin, Call.Request.Attempt), Id);
     const OpenCall &Opened = Calls.emplace(Id, std::move(Call)).first->second;
     if (Opened.Request.Service != Server.Service) {
       refuse(Id, Common::ResultCode::ServiceUnknown);
       return;
     }
-    act(Queue.offer(
-        {Id, Opened.Request.LongLane, Opened.Deadline, Opened.Request.Caller},
-        now()));
+    act(Queue.offer({.Id = Id,
+                     .LongLane = Opened.Request.LongLane,
+                     .Deadline = Opened.Deadline,
+                     .Caller = Opened.Request.Caller,
+                     .Kind = Opened.Request.Kind,
+                     .Arrived = Opened.Arrived},
+                    now()));
   }
 
   void take(CancelArrived &Part) {
@@ -93,14 +104,14 @@
   void take(ServerAnnounced &Part) {
     Server = Part.Server;
     ServerAddress = Part.Address;
-    Queue.setSlots(Server.Slots);
+    act(Queue.setSlots(Server.Slots, now()));
   }
 
   void take(ServerLeft &Part) {
     if (Part.Server != Server.Server)
       return;
     Server = {};
-    Queue.setSlots(0);
+    act(Queue.setSlots(0, now()));
   }
 
   void cancel(const AttemptKey &Key) {
@@ -111,12 +122,14 @@
     const OpenCall &Call = Calls.at(Id);
     const bool Waited = Queue.withdraw(Id);
     if (!Waited && !Call.Request.Idempotent)
-      return; // Cutting it off would leave its effect in doubt.
+      return; // Cutting it off would leave its effect in doubt, and the
+              // server may work on: its slot is busy until the deadline.
     if (Call.Transfer)
       Transport->cancel(*Call.Transfer);
     forget(Id);
     if (!Waited)
-      act(Queue.finished(Id, now()));
+      act(Queue.finished(Id, now(), Admission::Ending::CutOff));
+    finishDrain();
   }
 
   void act(const Admission::AdmissionActions &Actions) {
@@ -170,11 +183,18 @@
     Reply.ServiceTime =
         std::chrono::duration_cast<Common::Micros>(now() - Call.Started);
     // The next call takes the slot before the answer is written out.
-    act(Queue.finished(Id, now()));
+    act(Queue.finished(Id, now(), endingOf(Reply.Result)));
     reply(Id, std::move(Reply));
     finishDrain();
   }
 
+  static Admission::Ending endingOf(Common::ResultCode Result) {
+    if (Result == Common::ResultCode::Ok)
+      return Admission::Ending::Answered;
+    return Common::isNotRun(Result) ? Admission::Ending::NotRun
+                                    : Admission::Ending::CutOff;
+  }
+
   void refuse(Admission::TicketId Id, Common::ResultCode Code) {
     Routing::CallReply Reply;
     Reply.Result = Code;
@@ -207,6 +227,11 @@
     });
   }
 
+  void watchPauses() {
+    Pauses.tick(now());
+    Clock.after(Admission::PauseWatch::Interval, [this] { watchPauses(); });
+  }
+
   void finishDrain() {
     if (OnDrained && Queue.isIdle())
       // The answers still have to leave through the sockets.
@@ -219,7 +244,8 @@
   std::function<Peers()> FindPeers;
   Peers ToPeers;
   std::unique_ptr<Http::Client> Transport;
-  Admission::SlotQueue Queue;
+  Admission::SlotQueue<Order> Queue;
+  Admission::PauseWatch Pauses;
   Membership::Endpoint Server;
   std::string ServerAddress;
   std::unordered_map<Admission::TicketId, OpenCall> Calls;
--- a/Source/Core/Node/NodeBuilder.cpp
+++ b/Source/Core/Node/NodeBuilder.cpp
@@ -1,5 +1,6 @@
 #include "Node/NodeBuilder.h"
 
+#include "Admission/FifoOrder.h"
 #include "Node/AdminService.h"
 #include "Node/BackendService.h"
 #include "Node/ConfigService.h"
@@ -22,7 +23,6 @@
 using Front = FrontService<Routing::TwoChoices, PeersAddress, MembersAddress,
                            AdminAddress>;
 using PeersTask = PeersService<FrontAddress, BackendAddress>;
-using BackendTask = BackendService<PeersAddress>;
 using ConfigTask = ConfigService<FrontAddress, AdminAddress>;
 using MembersTask = MembersService<FrontAddress, ConfigAddress, AdminAddress>;
 using AdminTask = AdminService<BackendAddress, MembersAddress>;
@@ -43,6 +43,18 @@
           }};
 }
 
+template <Admission::WaitingOrder Order>
+void addBackend(Kernel::HostBuilder &Builder, const NodeSettings &Own) {
+  using BackendTask = BackendService<PeersAddress, Order>;
+  Builder.service<BackendTask>(
+      BackendName, CallTask, {PeersName}, [Own](Kernel::Context Around) {
+        return std::make_unique<BackendTask>(
+            Around, Own, [&Services = Around.Services] {
+              return Services.find<PeersMessage>(PeersName);
+            });
+      });
+}
+
 } // namespace
 
 NodeBuilder &NodeBuilder::settings(NodeSettings Value) {
@@ -66,13 +78,10 @@
                   Services.find<BackendMessage>(BackendName)};
             });
       });
-  Builder.service<BackendTask>(
-      BackendName, CallTask, {PeersName}, [Own](Kernel::Context Around) {
-        return std::make_unique<BackendTask>(
-            Around, Own, [&Services = Around.Services] {
-              return Services.find<PeersMessage>(PeersName);
-            });
-      });
+  if (Own.Admission == AdmissionOrder::Fifo)
+    addBackend<Admission::FifoOrder>(Builder, Own);
+  else
+    addBackend<Admission::LaneOrder>(Builder, Own);
   Builder.service<Front>(
       FrontName, CallTask, {PeersName, BackendName},
       [Own](Kernel::Context Around) {
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -29,6 +29,15 @@
   return Seed;
 }
 
+AdmissionOrder parseAdmission(const std::string &Text) {
+  if (Text == "lanes")
+    return AdmissionOrder::Lanes;
+  if (Text == "fifo")
+    return AdmissionOrder::Fifo;
+  throw Common::Error(Common::ResultCode::SettingsWrongType,
+                      "[calls] admission: " + Text + " is not lanes or fifo");
+}
+
 } // namespace
 
 const std::vector<Common::SettingRule> &nodeSettingRules() {
@@ -46,6 +55,9 @@
        "HTTP port for callers; 0 takes a free one"},
       {"calls", "body-limit", SettingType::Integer, "1048576", 1024, 8 << 20,
        "largest body of a request, in bytes"},
+      {"calls", "admission", SettingType::Text, "lanes", 0, 0,
+       "order of calls that wait for a slot: lanes (short and long apart) or "
+       "fifo"},
       {"peers", "port", SettingType::Integer, "0", 0, MaxPort,
        "TCP port for other nodes"},
       {"members",
@@ -98,6 +110,7 @@
   Result.CallPort = static_cast<int>(From.integer("calls", "port"));
   Result.BodyLimit =
       static_cast<std::size_t>(From.integer("calls", "body-limit"));
+  Result.Admission = parseAdmission(From.text("calls", "admission"));
   Result.PeerPort = static_cast<int>(From.integer("peers", "port"));
   Result.MemberPort = static_cast<int>(From.integer("members", "port"));
   Result.ControlPort = static_cast<int>(From.integer("control", "port"));
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -16,6 +16,9 @@
   int Port = 0;
 };
 
+// In which order calls that wait for a slot run.
+enum class AdmissionOrder { Lanes, Fifo };
+
 struct NodeSettings {
   std::string Name;
   std::string DataCentre;
@@ -26,6 +29,7 @@
   int ControlPort = 0;
   int AdminPort = 0;
   std::size_t BodyLimit = 0;
+  AdmissionOrder Admission = AdmissionOrder::Lanes;
   std::vector<SeedAddress> Seeds;
   Common::Micros HeartbeatInterval{0};
   Common::Micros FailureLimit{0};
@@ -37,7 +41,8 @@
   Common::Micros LogWait{0};
 };
 
-// Throws SettingsWrongType for a seed that is no "IP:port".
+// Throws SettingsWrongType for a seed that is no "IP:port", and for an unknown
+// order of admission.
 NodeSettings readNodeSettings(const Common::Settings &From);
 
 } // namespace Node
--- a/Source/UnitTests/Admission/SlotQueueTests.cpp
+++ b/Source/UnitTests/Admission/SlotQueueTests.cpp
@@ -1,5 +1,9 @@
 #include <boost/test/unit_test.hpp>
 
+#include <boost/mpl/list.hpp>
+
+#include "Admission/FifoOrder.h"
+#include "Admission/LaneOrder.h"
 #include "Admission/SlotQueue.h"
 
 BOOST_AUTO_TEST_SUITE(SlotQueues)
@@ -12,9 +16,11 @@
 const Common::SteadyTime Start{Millis(1000)};
 
 Ticket ticket(TicketId Id) {
-  return {Id, false, Start + Millis(500), "caller"};
+  return {Id, false, Start + Millis(500), "caller", "kind", Start};
 }
 
+using Orders = boost::mpl::list<FifoOrder, LaneOrder>;
+
 std::string text(const AdmissionActions &Actions) {
   std::string Result;
   for (const AdmissionAction &Each : Actions) {
@@ -29,18 +35,19 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(RunsNoMoreThanTheSlots) {
-  SlotQueue Queue;
-  Queue.setSlots(2);
+BOOST_AUTO_TEST_CASE_TEMPLATE(RunsNoMoreThanTheSlots, Order, Orders) {
+  SlotQueue<Order> Queue;
+  Queue.setSlots(2, Start);
   BOOST_TEST(text(Queue.offer(ticket(1), Start)) == "run 1;");
   BOOST_TEST(text(Queue.offer(ticket(2), Start)) == "run 2;");
   BOOST_TEST(text(Queue.offer(ticket(3), Start)).empty());
   BOOST_TEST(text(Queue.finished(1, Start)) == "run 3;");
 }
 
-BOOST_AUTO_TEST_CASE(RefusesWhenClosedAndLetsTheRestEnd) {
-  SlotQueue Queue;
-  Queue.setSlots(1);
+BOOST_AUTO_TEST_CASE_TEMPLATE(RefusesWhenClosedAndLetsTheRestEnd, Order,
+                              Orders) {
+  SlotQueue<Order> Queue;
+  Queue.setSlots(1, Start);
   Queue.offer(ticket(1), Start);
   Queue.offer(ticket(2), Start);
   Queue.close();
@@ -50,17 +57,17 @@
   BOOST_TEST(Queue.isIdle());
 }
 
-BOOST_AUTO_TEST_CASE(NeverRunsWhatIsPastItsDeadline) {
-  SlotQueue Queue;
-  Queue.setSlots(1);
+BOOST_AUTO_TEST_CASE_TEMPLATE(NeverRunsWhatIsPastItsDeadline, Order, Orders) {
+  SlotQueue<Order> Queue;
+  Queue.setSlots(1, Start);
   Queue.offer(ticket(1), Start);
   Queue.offer(ticket(2), Start);
   BOOST_TEST(text(Queue.finished(1, Start + Millis(600))) == "refuse 2 103;");
 }
 
-BOOST_AUTO_TEST_CASE(WithdrawsOnlyWhatWaits) {
-  SlotQueue Queue;
-  Queue.setSlots(1);
+BOOST_AUTO_TEST_CASE_TEMPLATE(WithdrawsOnlyWhatWaits, Order, Orders) {
+  SlotQueue<Order> Queue;
+  Queue.setSlots(1, Start);
   Queue.offer(ticket(1), Start);
   Queue.offer(ticket(2), Start);
   BOOST_TEST(!Queue.withdraw(1));
--- a/Source/UnitTests/Node/BackendServiceTests.cpp
+++ b/Source/UnitTests/Node/BackendServiceTests.cpp
@@ -47,14 +47,15 @@
   }
 
   void request(Routing::AttemptId Id, bool Idempotent,
-               const std::string &Service = "s") {
+               const std::string &Service = "s",
+               Common::Millis Remaining = Common::Millis(5000)) {
     Worker.runAndWait([&] {
       Routing::CallRequest Request;
       Request.Attempt = Id;
       Request.Service = Service;
       Request.Method = "POST";
       Request.Target = "/";
-      Request.Remaining = Common::Millis(5000);
+      Request.Remaining = Remaining;
       Request.Idempotent = Idempotent;
       Tested->handle(Node::RequestArrived{3, Request});
     });
@@ -113,6 +114,42 @@
   waitFor([&] { return Held.size() == 2; });
 }
 
+BOOST_FIXTURE_TEST_CASE(ACancelledNonIdempotentCallKeepsItsSlot, Fixture) {
+  request(1, false);
+  waitFor([&] { return Held.size() == 1; });
+  request(2, true);
+  Worker.runAndWait([&] { Tested->handle(Node::CancelArrived{3, 1}); });
+  request(3, true, "s", Common::Millis(50));
+  // The third is refused at its deadline, and the second has not begun.
+  BOOST_TEST(reply(0).Attempt == 3);
+  BOOST_TEST(Held.size() == 1);
+  Worker.runAndWait([&] { Server->answer(Held[0], {200, {}, "whole"}); });
+  BOOST_TEST(reply(1).Body == "whole");
+  waitFor([&] { return Held.size() == 2; });
+}
+
+BOOST_FIXTURE_TEST_CASE(ASlotComesBackAtTheDeadline, Fixture) {
+  request(1, false, "s", Common::Millis(100));
+  waitFor([&] { return Held.size() == 1; });
+  request(2, true);
+  BOOST_TEST((reply(0).Result == Common::ResultCode::OutcomeUnknown));
+  waitFor([&] { return Held.size() == 2; });
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatWaitedThroughAPauseIsNotDispatched, Fixture) {
+  const Common::Millis Pause(400);
+  Worker.runAndWait([&] {
+    std::this_thread::sleep_for(Pause);
+    Routing::CallRequest Request;
+    Request.Attempt = 1;
+    Request.Service = "s";
+    Request.Remaining = Pause / 2;
+    Tested->handle(Node::RequestArrived{3, Request});
+  });
+  BOOST_TEST((reply(0).Result == Common::ResultCode::DeadlineTooClose));
+  BOOST_TEST(Held.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(DrainEndsAfterTheRunningCall, Fixture) {
   request(1, false);
   waitFor([&] { return Held.size() == 1; });
