Watch the HTTP library's sockets by descriptors of our own

ACE cannot take a closed descriptor out of epoll, so it kept the pointer to a handler that was gone; a node with a backend server whose backlog is full would meet the same.

Each watch now has a duplicate of the socket, which is closed after the watch ended. A watch under the number of a socket that the library opens anew is of one that was closed unsaid, and ends.

Ruled out: keeping the handler alive until the reactor ends, since the next socket of that number could then not be watched.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -7,8 +7,11 @@
 #include <vector>
 
 #include <curl/curl.h>
+#include <fcntl.h>
+#include <sys/socket.h>
 
 #include "Common/Error.h"
+#include "Common/UniqueFd.h"
 
 namespace Http {
 
@@ -32,6 +35,30 @@
   std::function<void(ClientResult)> OnDone;
 };
 
+// Watches a socket of the library by a descriptor of its own: the library
+// closes a socket whose connect timed out before it says so, and a watch of a
+// closed descriptor cannot be ended.
+class WatchedSocket {
+public:
+  WatchedSocket(Kernel::Task &Home, curl_socket_t Socket,
+                Kernel::IoReadiness Interest,
+                std::function<void(Kernel::IoReadiness)> OnReady)
+      : Own(::fcntl(Socket, F_DUPFD_CLOEXEC, 0)) {
+    if (!Own.isOpen())
+      Common::throwSystemError("duplicating a socket");
+    Watch = Home.watch(Own.value(), Interest, std::move(OnReady));
+  }
+
+  void setInterest(Kernel::IoReadiness Interest) {
+    Watch->setInterest(Interest);
+  }
+
+private:
+  Common::UniqueFd Own;
+  // Ends before the descriptor is closed.
+  std::unique_ptr<Kernel::SocketWatch> Watch;
+};
+
 std::size_t takeBody(char *Data, std::size_t Size, std::size_t Count,
                      void *User) {
   static_cast<Transfer *>(User)->Reply.Body.append(Data, Size * Count);
@@ -85,13 +112,14 @@
   void finishTransfers();
   static int onSocket(CURL *Handle, curl_socket_t Socket, int What, void *User,
                       void *PerSocket);
+  static curl_socket_t onOpen(void *User, curlsocktype Purpose,
+                              curl_sockaddr *Address);
   static int onTimer(CURLM *Multi, long DelayMillis, void *User);
 
   Kernel::Task &Home;
   Kernel::Timers Clock{Home};
   CURLM *Multi = nullptr;
-  std::unordered_map<curl_socket_t, std::unique_ptr<Kernel::SocketWatch>>
-      Watches;
+  std::unordered_map<curl_socket_t, std::unique_ptr<WatchedSocket>> Watches;
   std::unordered_map<TransferId, std::unique_ptr<Transfer>> Running;
   std::vector<EasyHandle> Spare;
   TransferId NextId = 1;
@@ -138,8 +166,8 @@
     Found->second->setInterest(Interest);
     return 0;
   }
-  Self.Watches[Socket] = Self.Home.watch(
-      Socket, Interest, [&Self, Socket](Kernel::IoReadiness Ready) {
+  Self.Watches[Socket] = std::make_unique<WatchedSocket>(
+      Self.Home, Socket, Interest, [&Self, Socket](Kernel::IoReadiness Ready) {
         int Events = 0;
         if (Ready.Read)
           Events |= CURL_CSELECT_IN;
@@ -150,6 +178,17 @@
   return 0;
 }
 
+curl_socket_t Client::Impl::onOpen(void *User, curlsocktype Purpose,
+                                   curl_sockaddr *Address) {
+  (void)Purpose;
+  auto &Self = *static_cast<Impl *>(User);
+  const int Opened = ::socket(Address->family, Address->socktype | SOCK_CLOEXEC,
+                              Address->protocol);
+  // A watch under this number is of a socket that was closed unsaid.
+  Self.Watches.erase(Opened);
+  return Opened < 0 ? CURL_SOCKET_BAD : Opened;
+}
+
 int Client::Impl::onTimer(CURLM *Multi, long DelayMillis, void *User) {
   (void)Multi;
   auto &Self = *static_cast<Impl *>(User);
@@ -239,10 +278,14 @@
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &Started);
   curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, &takeHeader);
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, &Started);
+  curl_easy_setopt(Handle, CURLOPT_OPENSOCKETFUNCTION, &Impl::onOpen);
+  curl_easy_setopt(Handle, CURLOPT_OPENSOCKETDATA, this);
   curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(Handle, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(Handle, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(Handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  if (!Asked.SourceAddress.empty())
+    curl_easy_setopt(Handle, CURLOPT_INTERFACE, Asked.SourceAddress.c_str());
   if (Asked.NeverResend)
     curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, 1L);
   if (Asked.Method == "HEAD") {
--- a/Source/UnitTests/Http/HttpTests.cpp
+++ b/Source/UnitTests/Http/HttpTests.cpp
@@ -221,4 +221,45 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AConnectThatTimesOutLeavesNothingBehind) {
+  // A listener whose backlog is full drops further connections silently.
+  const Common::UniqueFd Deaf(::socket(AF_INET, SOCK_STREAM, 0));
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto *Raw = reinterpret_cast<sockaddr *>(&Address);
+  socklen_t Size = sizeof(Address);
+  BOOST_REQUIRE(::bind(Deaf.value(), Raw, Size) == 0);
+  BOOST_REQUIRE(::listen(Deaf.value(), 0) == 0);
+  BOOST_REQUIRE(::getsockname(Deaf.value(), Raw, &Size) == 0);
+  std::vector<Common::UniqueFd> Fill;
+  for (int Each = 0; Each < 3; ++Each) {
+    Fill.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    (void)::connect(Fill.back().value(), Raw, Size);
+  }
+  Loopback Both;
+  Both.OnRequest = [&](Http::ExchangeId Id, const Http::Request &) {
+    Both.Listener->answer(Id, {200, {}, ""});
+  };
+  for (int Round = 0; Round < 3; ++Round) {
+    std::promise<Http::ClientResult> Late;
+    Both.Worker.post([&] {
+      Http::ClientRequest Asked;
+      Asked.Url =
+          "http://127.0.0.1:" + std::to_string(ntohs(Address.sin_port)) + "/";
+      Asked.Limit = Common::Millis(50);
+      Both.Transport->send(Asked, [&](Http::ClientResult Result) {
+        Late.set_value(std::move(Result));
+      });
+    });
+    const Http::ClientResult Missed = Late.get_future().get();
+    BOOST_TEST(!Missed.Answered);
+    BOOST_TEST(!Missed.MayHaveRun);
+    // The next socket has the number of the one that timed out.
+    auto Fresh = request("GET", "/");
+    Fresh.NeverResend = true;
+    BOOST_TEST(Both.send(Fresh).get().Answered);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
