Let the load tool swing, mix classes and write windows

Quantiles are exact: a run holds at most some hundred thousand times, and Boost.Accumulators' estimates are off most at the tail that is measured here.

--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -19,6 +19,8 @@
   Headers Fields;
   std::string Body;
   Common::Micros Limit{5'000'000};
+  // The own IP address to send from; empty leaves it to the system.
+  std::string SourceAddress;
   // The library sends a request again by itself when a kept connection turns
   // out to be dead. A request that must not run twice needs a new connection.
   bool NeverResend = false;
--- /dev/null
+++ b/Source/Programs/zinnia-load/LoadReport.cpp
@@ -0,0 +1,81 @@
+#include "Programs/zinnia-load/LoadReport.h"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+namespace Load {
+
+namespace {
+
+constexpr struct {
+  const char *Name;
+  double Share;
+} Quantiles[] = {
+    {"p50-us", 0.5}, {"p90-us", 0.9}, {"p99-us", 0.99}, {"p999-us", 0.999}};
+
+} // namespace
+
+void Latencies::add(Common::Micros Value) {
+  Values.push_back(Value);
+  Sorted = false;
+}
+
+Common::Micros Latencies::quantile(double Share) const {
+  if (Values.empty())
+    return Common::Micros(0);
+  if (!Sorted)
+    std::sort(Values.begin(), Values.end());
+  Sorted = true;
+  const auto Rank = static_cast<std::size_t>(
+      std::lround(Share * static_cast<double>(Values.size() - 1)));
+  return Values[std::min(Rank, Values.size() - 1)];
+}
+
+Window &LoadReport::windowAt(Common::Duration SinceStart) {
+  const auto Index = static_cast<std::size_t>(SinceStart / Window::Length);
+  if (Index >= Windows.size())
+    Windows.resize(Index + 1);
+  return Windows[Index];
+}
+
+std::string reportText(const LoadReport &Report) {
+  std::ostringstream Out;
+  Out << "sent " << Report.Sent << "\nserved " << Report.Served << "\nwrong "
+      << Report.Wrong << "\nunanswered " << Report.Unanswered << "\n";
+  for (const auto &[Code, Count] : Report.ByResult)
+    Out << "result " << Code << " " << Count << "\n";
+  for (const auto &[Server, Count] : Report.ByServer)
+    Out << "server " << Server << " " << Count << "\n";
+  const double Seconds = std::chrono::duration<double>(Report.Elapsed).count();
+  Out << "rate " << static_cast<int>(Report.Served / std::max(Seconds, 1e-6))
+      << "\n";
+  for (const auto &Each : Quantiles)
+    Out << Each.Name << " " << Report.Times.quantile(Each.Share).count()
+        << "\n";
+  if (Report.Classes.size() < 2)
+    return Out.str();
+  for (const ClassReport &Class : Report.Classes) {
+    Out << "class " << Class.Name << " sent " << Class.Sent << " served "
+        << Class.Served;
+    for (const auto &Each : Quantiles)
+      Out << " " << Each.Name << " "
+          << Class.Times.quantile(Each.Share).count();
+    Out << "\n";
+  }
+  return Out.str();
+}
+
+std::string windowsText(const LoadReport &Report) {
+  std::ostringstream Out;
+  Out << "start-ms,due,served,refused,failed\n";
+  Common::Millis Start{0};
+  for (const Window &Each : Report.Windows) {
+    Out << Start.count() << "," << Each.Due << "," << Each.Served << ","
+        << Each.Refused << "," << Each.Failed << "\n";
+    Start += Window::Length;
+  }
+  return Out.str();
+}
+
+} // namespace Load
--- a/Source/Programs/zinnia-load/LoadRun.h
+++ b/Source/Programs/zinnia-load/LoadRun.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -9,18 +8,21 @@
 #include "Common/Time.h"
 #include "Http/Client.h"
 #include "Kernel/Task.h"
+#include "Programs/zinnia-load/LoadPlan.h"
+#include "Programs/zinnia-load/LoadReport.h"
 
 namespace Load {
 
 struct LoadOptions {
   // "IP:port" of nodes or servers, used in turn.
   std::vector<std::string> Targets;
+  // Own addresses, used in turn; nodes tell callers apart by address.
+  std::vector<std::string> Sources;
   std::string Method = "GET";
-  // The path; "?id=..." is added.
-  std::string Path = "/";
-  // Added to the query as it is.
-  std::string Query;
+  std::vector<CallClass> Classes;
   double CallsPerSecond = 100;
+  std::vector<Swing> Swings;
+  std::uint64_t Seed = 1;
   // When above 0, that many callers each send as soon as they have an answer,
   // and CallsPerSecond does not count.
   int ClosedCallers = 0;
@@ -32,24 +34,6 @@
   int WarmUpCalls = 0;
 };
 
-struct LoadReport {
-  int Sent = 0;
-  // Whole answers to the request that was asked.
-  int Served = 0;
-  // Answers that belong to another request. Must stay 0.
-  int Wrong = 0;
-  // Calls without any answer.
-  int Unanswered = 0;
-  // Answers by result code of the node, 0 for served.
-  std::map<int, int> ByResult;
-  std::map<std::string, int> ByServer;
-  Common::Micros Elapsed{0};
-  // Of served calls, from the time each was due.
-  std::vector<Common::Micros> Latencies;
-
-  Common::Micros quantile(double Share) const;
-};
-
 // Sends calls on a task and reports when all have ended. Calls are due at
 // fixed times whether or not earlier ones were answered, so that a slow system
 // can't slow its load down.
@@ -61,15 +45,25 @@
   void start();
 
 private:
+  struct SentCall {
+    std::string Id;
+    std::size_t Class = 0;
+    Common::SteadyTime DueAt;
+    // Calls of the warm-up have no part in the latencies.
+    bool Counts = true;
+  };
+
   void sendDue();
   void sendOne(Common::SteadyTime DueAt);
-  void takeAnswer(const std::string &Id, bool Counts, Common::SteadyTime DueAt,
-                  const Http::ClientResult &Result);
+  void takeAnswer(const SentCall &Call, const Http::ClientResult &Result);
+  void countServed(const SentCall &Call, const std::string &Server,
+                   Common::SteadyTime Now);
   void finishIfDone();
 
   Kernel::Task &Home;
   Kernel::Timers Clock{Home};
   LoadOptions Options;
+  LoadPlan Plan;
   std::function<void(LoadReport)> OnDone;
   Http::Client Transport;
   LoadReport Report;
@@ -80,7 +74,4 @@
   bool AllSent = false;
 };
 
-// Prints a report as lines of "key value".
-std::string reportText(const LoadReport &Report);
-
 } // namespace Load
--- /dev/null
+++ b/Tools/bench/swing.sh
@@ -0,0 +1,50 @@
+#!/usr/bin/env bash
+# Measures goodput while demand is eight times as high for three seconds, with
+# the admission lanes and with the plain queue: swing.sh [RUNS]. One near node
+# and two far nodes, with 6 and 9 slots; a call works 5 ms.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+Bin=$PWD/build/release/bin
+Run=$(mktemp -d)
+source Tools/cluster.sh
+source Tools/bench/mesh.sh
+trap 'end_all; rm -rf "$Run"' EXIT
+Runs=${1:-3}
+BaseRate=${BASE_RATE:-550}
+
+# Prints goodput in the swing as a share of capacity, and when it was normal.
+judge() { # CSV CAPACITY
+  awk -F, -v Capacity="$2" -v Base="$BaseRate" '
+    NR == 1 { next }
+    $1 >= 3000 && $1 < 6000 {
+      Sum += $3; ++Count
+      if (Least == "" || $3 < Least) Least = $3
+    }
+    # Normal again: half a second of windows with 90% of what is due.
+    $1 >= 6000 && !Normal {
+      Good = ($3 >= 0.9 * $2) ? Good + 1 : 0
+      if (Good == 5) Normal = $1 - 6000 - 400 + 1
+    }
+    END {
+      printf "goodput %.0f/s, %.0f%% of capacity, least window %.0f%%, ",
+        Sum * 10 / Count, 1000 * Sum / Count / Capacity, 1000 * Least / Capacity
+      if (Normal) printf "normal after %d ms\n", Normal - 1
+      else print "not normal again"
+    }' "$1"
+}
+
+for Order in lanes fifo; do
+  for Number in $(seq "$Runs"); do
+    start_mesh "$Order" 6 9
+    Capacity=$("$Bin/zinnia-load" --target "$Near" --path /short/a --closed 45 \
+      --length 3s --id-prefix c | sed -n 's/^rate //p')
+    "$Bin/zinnia-load" --target "$Near" --path /short/a --rate "$BaseRate" \
+      --swing 8@3s+3s --length 10s --limit 2s --id-prefix s \
+      --seed "$Number" --csv "$Run/swing.csv" >"$Run/swing.txt"
+    echo "$Order run $Number: capacity $Capacity/s, due $((BaseRate * 8))/s:" \
+      "$(judge "$Run/swing.csv" "$Capacity")"
+    grep -E '^(result|unanswered|p50|p99-)' "$Run/swing.txt" | paste -sd' '
+    [ -z "${KEEP_CSV:-}" ] || cp "$Run/swing.csv" "$KEEP_CSV-$Order-$Number.csv"
+    end_all
+  done
+done
--- a/Tools/cluster.sh
+++ b/Tools/cluster.sh
@@ -74,6 +74,7 @@
 data-centre = $2
 address = 127.0.0.1
 [calls]
+admission = ${Admission:-lanes}
 port = $3
 [peers]
 port = $4
