--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -44,6 +44,15 @@
   return Found->second;
 }
 
+AdmissionOrder parseAdmission(const std::string &Text) {
+  if (Text == "lanes")
+    return AdmissionOrder::Lanes;
+  if (Text == "fifo")
+    return AdmissionOrder::Fifo;
+  throw Common::Error(Common::ResultCode::SettingsWrongType,
+                      "[calls] admission: " + Text + " is not lanes or fifo");
+}
+
 } // namespace
 
 const std::vector<Common::SettingRule> &nodeSettingRules() {
@@ -66,6 +75,9 @@
       {"calls", "choice", SettingType::Text, "ours", 0, 0,
        "how a backend server is chosen: ours, two-choices, least-requests, "
        "round-robin or random"},
+      {"calls", "admission", SettingType::Text, "lanes", 0, 0,
+       "order of calls that wait for a slot: lanes (short and long apart) or "
+       "fifo"},
       {"peers", "port", SettingType::Integer, "0", 0, MaxPort,
        "TCP port for other nodes"},
       {"members",
@@ -121,6 +133,7 @@
   Result.OpenCallLimit =
       static_cast<std::size_t>(From.integer("calls", "open-limit"));
   Result.Choice = parseChoice(From.text("calls", "choice"));
+  Result.Admission = parseAdmission(From.text("calls", "admission"));
   Result.PeerPort = static_cast<int>(From.integer("peers", "port"));
   Result.MemberPort = static_cast<int>(From.integer("members", "port"));
   Result.ControlPort = static_cast<int>(From.integer("control", "port"));
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -19,6 +19,9 @@
 // The policies by which a near node chooses a backend server.
 enum class ChoiceName { Ours, TwoChoices, LeastRequests, RoundRobin, Random };
 
+// In which order calls that wait for a slot run.
+enum class AdmissionOrder { Lanes, Fifo };
+
 struct NodeSettings {
   std::string Name;
   std::string DataCentre;
@@ -31,6 +34,7 @@
   std::size_t BodyLimit = 0;
   std::size_t OpenCallLimit = 0;
   ChoiceName Choice = ChoiceName::Ours;
+  AdmissionOrder Admission = AdmissionOrder::Lanes;
   std::vector<SeedAddress> Seeds;
   Common::Micros HeartbeatInterval{0};
   Common::Micros FailureLimit{0};
@@ -42,8 +46,8 @@
   Common::Micros LogWait{0};
 };
 
-// Throws SettingsWrongType for a seed that is no "IP:port" and for an unknown
-// choice policy.
+// Throws SettingsWrongType for a seed that is no "IP:port", an unknown choice
+// policy and an unknown order of admission.
 NodeSettings readNodeSettings(const Common::Settings &From);
 
 } // namespace Node
--- a/Source/Programs/zinnia-scenario/Mesh.cpp
+++ b/Source/Programs/zinnia-scenario/Mesh.cpp
@@ -22,6 +22,8 @@
 namespace {
 
 const std::string Loopback = "127.0.0.1";
+constexpr Common::Millis PollInterval{5};
+constexpr std::chrono::seconds StartLimit{10};
 
 bool canBind(int Type, int Port) {
   const Common::UniqueFd Socket(::socket(AF_INET, Type, 0));
@@ -76,6 +78,13 @@
     LogPort = freePort();
   launch("log", {"zinnia-standin-log", "--port", std::to_string(LogPort),
                  "--retention", Retention});
+  // A script that publishes at once must not race the log's start.
+  const auto End = std::chrono::steady_clock::now() + StartLimit;
+  while (fetch(LogPort, "/").empty()) {
+    if (std::chrono::steady_clock::now() >= End)
+      throw Error(ResultCode::LogUnavailable, "the log did not start");
+    std::this_thread::sleep_for(PollInterval);
+  }
 }
 
 void Mesh::startNode(const std::string &Name, const std::string &DataCentre,
@@ -159,7 +168,6 @@
 
 std::pair<int, std::string>
 Mesh::control(const std::vector<std::string> &Words) {
-  constexpr Common::Millis PollInterval{5};
   std::vector<std::string> All = {BinFolder + "/zinniactl", "--log",
                                   "http://" + onLoopback(LogPort)};
   All.insert(All.end(), Words.begin(), Words.end());
