Count membership datagrams on the status page, and measure them

Cause: what membership costs a node could not be seen. The admin page now has [members sent] and [members received], by kind of datagram.

Tools/bench/membership.sh starts real nodes and prints the cost idle and with two changes a second.

--- a/Source/Core/Node/AdminService.h
+++ b/Source/Core/Node/AdminService.h
@@ -60,6 +60,7 @@
     InForceSince = std::chrono::system_clock::now();
   }
   void take(ServersChanged &Part) { Servers = Part.Servers; }
+  void take(MembershipTraffic &Part) { Counts = std::move(Part.Counts); }
   void take(RecordJudged &Part) {
     Verdicts.push_back(Part.Judged);
     if (Verdicts.size() > MaxVerdicts)
@@ -76,6 +77,15 @@
     return {404, {}, "no such page\n"};
   }
 
+  static void
+  writeTraffic(std::ostream &Out, const std::string &Way,
+               const std::map<std::string, Membership::TrafficCount> &Counts) {
+    Out << "[members " << Way << "]\n";
+    for (const auto &[Kind, Each] : Counts)
+      Out << Kind << "-datagrams = " << Each.Datagrams << "\n"
+          << Kind << "-bytes = " << Each.Bytes << "\n";
+  }
+
   std::string statusText() const {
     std::ostringstream Out;
     Out << "[node]\nname = " << Settings.Name
@@ -92,6 +102,8 @@
           Out << Each.Server << " = " << Each.Node << " " << Each.DataCentre
               << "\n";
       }
+    writeTraffic(Out, "sent", Counts.Sent);
+    writeTraffic(Out, "received", Counts.Received);
     for (const Config::Verdict &Each : Verdicts)
       Out << "[record " << Each.At << "]\nid = " << Each.RecordId
           << "\nresult = " << Common::resultCodeNumber(Each.Code)
@@ -144,6 +156,7 @@
   Common::WallTime InForceSince;
   Routing::ServerViewPtr Servers;
   std::deque<Config::Verdict> Verdicts;
+  Membership::Traffic Counts;
 };
 
 } // namespace Node
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -8,6 +8,7 @@
 
 #include "Config/AcceptedHistory.h"
 #include "Membership/Member.h"
+#include "Membership/Traffic.h"
 #include "Routing/Call.h"
 #include "Routing/ServerView.h"
 
@@ -120,6 +121,10 @@
 struct RecordJudged {
   Config::Verdict Judged;
 };
-using AdminMessage = std::variant<VersionInForce, ServersChanged, RecordJudged>;
+struct MembershipTraffic {
+  Membership::Traffic Counts;
+};
+using AdminMessage = std::variant<VersionInForce, ServersChanged, RecordJudged,
+                                  MembershipTraffic>;
 
 } // namespace Node
--- /dev/null
+++ b/Tools/bench/membership.sh
@@ -0,0 +1,100 @@
+#!/usr/bin/env bash
+# Measures what membership costs a node: datagrams and bytes a second by kind,
+# and processor time, idle and while a backend server comes and goes once a
+# second. Usage: Tools/bench/membership.sh [NODES...]
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+Bin=${Bin:-$PWD/build/release/bin}
+Run=$(mktemp -d)
+source Tools/cluster.sh
+trap 'end_all; rm -rf "$Run"' EXIT
+IdleSeconds=10
+Changes=10
+# Nobody renews the announcements of the servers that this script invents.
+MembersSettings='announcement-limit = 10m'
+
+# Sums the counters of all nodes: WAY KIND-PATTERN UNIT
+total() {
+  local Each
+  for Each in "${Admin[@]}"; do curl -sf "http://$Each/v1/status"; done |
+    awk -v Way="$1" -v Unit="$2" '
+      /^\[/ { In = ($0 == "[members " Way "]") }
+      In && $1 ~ Unit "$" { Sum += $3 }
+      END { print Sum + 0 }'
+}
+# Processor time of all nodes, in clock ticks.
+ticks() {
+  local Pid Sum=0
+  for Pid in "${NodePids[@]}"; do
+    Sum=$((Sum + $(awk '{print $14 + $15}' "/proc/$Pid/stat")))
+  done
+  echo "$Sum"
+}
+all_see() { # COUNT
+  local Each
+  for Each in "${Admin[@]}"; do
+    [ "$(curl -sf "http://$Each/v1/status" | grep -c '^s[0-9]* =')" -eq "$1" ] ||
+      return 1
+  done
+}
+announce() { # INDEX
+  curl -sf -X POST "http://${Admin[$1]}/v1/servers" --data-binary \
+    "[server s$1]
+service = bench
+slots = 6
+address = 127.0.0.1:9
+" >/dev/null
+}
+snapshot() {
+  Seen=("$(date +%s%3N)" "$(ticks)" "$(total sent -datagrams)"
+    "$(total sent -bytes)" "$(total received -bytes)")
+}
+report() { # NAME COUNT
+  local Before=("${Seen[@]}")
+  snapshot
+  awk -v Name="$1" -v N="$2" -v Hz="$(getconf CLK_TCK)" \
+    -v A="${Before[*]}" -v B="${Seen[*]}" 'BEGIN {
+      split(A, X, " "); split(B, Y, " ")
+      S = (Y[1] - X[1]) / 1000 * N
+      printf "%s nodes %d: per node and second: %.1f datagrams and %.0f bytes" \
+        " sent, %.0f bytes received, %.2f%% of a core\n", Name, N,
+        (Y[3] - X[3]) / S, (Y[4] - X[4]) / S, (Y[5] - X[5]) / S,
+        (Y[2] - X[2]) / Hz / S * 100 }'
+}
+
+measure() { # NODES
+  local Count=$1 I LogPort
+  read -ra Ports <<<"$(free_ports $((Count * 5 + 1)))"
+  LogPort=${Ports[$((Count * 5))]}
+  start_log "$LogPort"
+  Admin=() NodePids=()
+  local Seeds="127.0.0.1:${Ports[2]} 127.0.0.1:${Ports[7]}"
+  for ((I = 0; I < Count; I++)); do
+    P=$((I * 5))
+    start_node "n$I" leicester "${Ports[$P]}" "${Ports[$((P + 1))]}" \
+      "${Ports[$((P + 2))]}" "${Ports[$((P + 3))]}" "$Seeds" "$LogPort" \
+      "${Ports[$((P + 4))]}"
+    NodePids+=("$NodePid")
+    Admin+=("127.0.0.1:${Ports[$((P + 3))]}")
+  done
+  wait_until 10 all_see 0
+  for ((I = 0; I < Count; I++)); do wait_until 10 announce "$I"; done
+  wait_until 20 all_see "$Count"
+  # The spread of the last announcements is no part of the idle cost.
+  sleep 3
+  snapshot
+  sleep "$IdleSeconds"
+  report idle "$Count"
+  for ((I = 0; I < Changes; I++)); do
+    curl -sf -X DELETE "http://${Admin[0]}/v1/servers/s0" >/dev/null
+    sleep 0.5
+    announce 0
+    sleep 0.5
+  done
+  report "2 changes a second," "$Count"
+  end_all
+}
+
+for Nodes in "${@:-10 20 40}"; do
+  for Count in $Nodes; do measure "$Count"; done
+done
--- a/Tools/cluster.sh
+++ b/Tools/cluster.sh
@@ -67,6 +67,7 @@
   Pids+=($!)
 }
 
+# MembersSettings may hold more lines for [members].
 start_node() { # NAME DATA-CENTRE CALL PEER MEMBER ADMIN SEEDS LOG-PORT CONTROL
   cat >"$Run/$1.ini" <<S
 [node]
@@ -80,6 +81,7 @@
 [members]
 port = $5
 seeds = $7
+${MembersSettings:-}
 [control]
 port = $9
 [admin]
