Give up a list fetch from a silent node, and forget the dead later

Two halves found each other by list fetches that were retried for ever; such a fetch also kept the node from asking a better source. A fetch from one peer now ends after four tries; only a joining node goes on with its seeds. The dead are kept for two hours in place of one minute, so that halves find each other after a longer cut; the test cuts for two minutes. The test of a sleep now begins with a probe and a suspicion open.

--- a/Source/Core/Membership/ListFetch.cpp
+++ b/Source/Core/Membership/ListFetch.cpp
@@ -8,13 +8,16 @@
 
 constexpr Common::Millis FirstRetry{400};
 constexpr int MaxDoublings = 4;
+constexpr int MaxTries = 4;
 
 } // namespace
 
-void ListFetch::begin(std::vector<Place> From, Common::SteadyTime Now) {
+void ListFetch::begin(std::vector<Place> From, bool KeepTrying,
+                      Common::SteadyTime Now) {
   if (isRunning() || From.empty())
     return;
   Sources = std::move(From);
+  Persistent = KeepTrying;
   After.clear();
   Tries = 0;
   NextAt = Now;
@@ -24,6 +27,10 @@
 ListFetch::due(Common::SteadyTime Now) {
   if (!isRunning() || Now < NextAt)
     return std::nullopt;
+  if (!Persistent && Tries >= MaxTries) {
+    Sources.clear();
+    return std::nullopt;
+  }
   // A source that answered is asked on; after a silence any may be.
   if (Tries != 0 || After.empty())
     Asked = Sources[Random() % Sources.size()];
--- a/Source/Core/Membership/ListFetch.h
+++ b/Source/Core/Membership/ListFetch.h
@@ -16,8 +16,9 @@
 public:
   explicit ListFetch(std::uint64_t Seed) : Random(Seed) {}
 
-  // Ignored while a fetch runs.
-  void begin(std::vector<Place> From, Common::SteadyTime Now);
+  // Ignored while a fetch runs. Without Persistent it is given up after some
+  // silence, as another may serve better.
+  void begin(std::vector<Place> From, bool Persistent, Common::SteadyTime Now);
   bool isRunning() const { return !Sources.empty(); }
 
   // The request to send now, if one is due.
@@ -32,6 +33,7 @@
   std::string After;
   Common::SteadyTime NextAt;
   int Tries = 0;
+  bool Persistent = false;
 };
 
 } // namespace Membership
--- a/Source/Core/Membership/Prober.cpp
+++ b/Source/Core/Membership/Prober.cpp
@@ -21,7 +21,8 @@
 constexpr std::int64_t DeadProbeShare = 8;
 // A tick that is later by this shows that the process did not run.
 constexpr Common::Millis SleepLimit{500};
-constexpr Common::Millis ForgetLimit{60'000};
+// Longer than the cuts between parts of the network usually last.
+constexpr std::chrono::hours ForgetLimit{2};
 // Tables that differ for this long have missed an update.
 constexpr Common::Millis SettleTime{2000};
 constexpr Common::Millis SyncInterval{5000};
@@ -43,7 +44,7 @@
     Started = true;
     LastTick = Now;
     ProbeDue = Now;
-    Fetch.begin(Options.Seeds, Now);
+    Fetch.begin(Options.Seeds, true, Now);
     tellSelf();
   }
   noticeSleep(Now);
@@ -188,7 +189,7 @@
 void Prober::fetchList(Common::SteadyTime Now) {
   if (RefetchAt && Now >= *RefetchAt) {
     RefetchAt.reset();
-    Fetch.begin(Options.Seeds, Now);
+    Fetch.begin(Options.Seeds, false, Now);
   }
   if (const auto Asked = Fetch.due(Now))
     send(Asked->first, Asked->second, {Table.self()});
@@ -200,7 +201,7 @@
       Now - LastChange < SettleTime || Now < NextSync)
     return;
   NextSync = Now + SyncInterval;
-  Fetch.begin({Heard.ReplyTo}, Now);
+  Fetch.begin({Heard.ReplyTo}, false, Now);
 }
 
 void Prober::answer(const Datagram &Heard, const Probe &Body,
--- a/Source/UnitTests/Membership/ProberTests.cpp
+++ b/Source/UnitTests/Membership/ProberTests.cpp
@@ -20,6 +20,13 @@
 }
 bool offers(const Member *Held) { return Held && !Held->Endpoints.empty(); }
 
+Member member(const std::string &Name) {
+  Member Result;
+  Result.Node = Name;
+  Result.DataCentre = "d";
+  return Result;
+}
+
 // A settled data centre that loses every twentieth datagram.
 struct Settled : Fleet {
   explicit Settled(int Count, std::uint64_t Seed) : Fleet(Seed) {
@@ -120,13 +127,41 @@
   BOOST_TEST(Lowest == 40);
 }
 
+BOOST_AUTO_TEST_CASE(ASleepEndsNoWaitThatBeganBefore) {
+  Common::SteadyTime Now{Millis(1000)};
+  Member Self = member("a");
+  Self.Incarnation = 5;
+  Prober Tested(Self,
+                {.TickInterval = Millis(100),
+                 .ProbeInterval = Millis(400),
+                 .ProbeTimeout = Millis(150),
+                 .SuspicionLimit = Millis(800),
+                 .Seeds = {}},
+                1);
+  Tested.tick(Now);
+  Datagram Heard;
+  Heard.From = "b";
+  Heard.DataCentre = "d";
+  Heard.Body = Gossip{};
+  Heard.Updates = {member("b"), member("c"), member("e")};
+  Heard.Updates[2].State = Health::Suspect;
+  Tested.take(Heard, Now);
+  for (int I = 0; I < 6; ++I)
+    Tested.tick(Now += Millis(100));
+  Tested.tick(Now += Millis(6000));
+  BOOST_TEST(isAlive(Tested.table().find("b")));
+  BOOST_TEST(isAlive(Tested.table().find("c")));
+  BOOST_TEST(!isGone(Tested.table().find("e")));
+  BOOST_TEST(Tested.table().self().Incarnation == 6);
+}
+
 BOOST_AUTO_TEST_CASE(HalvesThatWereCutOffFindEachOther) {
   Settled Nodes(40, 16);
   const auto Half = [](const std::string &Name) {
     return Name < Fleet::name(20);
   };
   Nodes.Cut = [&](const auto &A, const auto &B) { return Half(A) != Half(B); };
-  Nodes.run(Millis(30'000), [&] { return Nodes.allKnow(20); });
+  Nodes.run(Millis(120'000));
   BOOST_TEST(Nodes.allKnow(20));
   Nodes.Cut = nullptr;
   const auto Took =
