--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -48,6 +48,12 @@
        "largest body of a request, in bytes"},
       {"peers", "port", SettingType::Integer, "0", 0, MaxPort,
        "TCP port for other nodes"},
+      {"peers", "echo-interval", SettingType::Time, "400ms", 1'000, 60 * Second,
+       "time between echoes on a connection that awaits answers"},
+      {"peers", "idle-echo-interval", SettingType::Time, "10s", 1'000,
+       600 * Second, "time between echoes on any other connection"},
+      {"peers", "echo-limit", SettingType::Time, "1200ms", 10'000, 60 * Second,
+       "silence after which a connection is given up for a new one"},
       {"members",
        "port",
        SettingType::Integer,
@@ -101,6 +107,9 @@
   Result.BodyLimit =
       static_cast<std::size_t>(From.integer("calls", "body-limit"));
   Result.PeerPort = static_cast<int>(From.integer("peers", "port"));
+  Result.EchoInterval = From.time("peers", "echo-interval");
+  Result.IdleEchoInterval = From.time("peers", "idle-echo-interval");
+  Result.EchoLimit = From.time("peers", "echo-limit");
   Result.MemberPort = static_cast<int>(From.integer("members", "port"));
   Result.ControlPort = static_cast<int>(From.integer("control", "port"));
   Result.AdminPort = static_cast<int>(From.integer("admin", "port"));
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -22,6 +22,9 @@
   std::string Address;
   int CallPort = 0;
   int PeerPort = 0;
+  Common::Micros EchoInterval{0};
+  Common::Micros IdleEchoInterval{0};
+  Common::Micros EchoLimit{0};
   int MemberPort = 0;
   int ControlPort = 0;
   int AdminPort = 0;
