--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -9,6 +9,7 @@
 #include "Config/AcceptedHistory.h"
 #include "Http/Server.h"
 #include "Membership/Member.h"
+#include "Membership/Traffic.h"
 #include "Report/CallSample.h"
 #include "Routing/Call.h"
 #include "Routing/ServerView.h"
@@ -123,12 +124,15 @@
 struct RecordJudged {
   Config::Verdict Judged;
 };
+struct MembershipTraffic {
+  Membership::Traffic Counts;
+};
 struct MetricsReady {
   Http::ExchangeId Exchange = 0;
   std::string Page;
 };
-using AdminMessage =
-    std::variant<VersionInForce, ServersChanged, RecordJudged, MetricsReady>;
+using AdminMessage = std::variant<VersionInForce, ServersChanged, RecordJudged,
+                                  MembershipTraffic, MetricsReady>;
 
 struct CallsEnded {
   std::vector<Report::CallSample> Samples;
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -80,6 +80,12 @@
        "fifo"},
       {"peers", "port", SettingType::Integer, "0", 0, MaxPort,
        "TCP port for other nodes"},
+      {"peers", "echo-interval", SettingType::Time, "400ms", 1'000, 60 * Second,
+       "time between echoes on a connection that awaits answers"},
+      {"peers", "idle-echo-interval", SettingType::Time, "10s", 1'000,
+       600 * Second, "time between echoes on any other connection"},
+      {"peers", "echo-limit", SettingType::Time, "1200ms", 10'000, 60 * Second,
+       "silence after which a connection is given up for a new one"},
       {"members",
        "port",
        SettingType::Integer,
@@ -89,10 +95,12 @@
        "UDP port for membership"},
       {"members", "seeds", SettingType::Text, "", 0, 0,
        "IP:port of some members, separated by spaces"},
-      {"members", "heartbeat-interval", SettingType::Time, "200ms", 10'000,
-       60 * Second, "time between heartbeats"},
-      {"members", "failure-limit", SettingType::Time, "1500ms", 50'000,
-       600 * Second, "silence after which a member counts as dead"},
+      {"members", "probe-interval", SettingType::Time, "400ms", 10'000,
+       60 * Second, "time between probes, each of one other member"},
+      {"members", "probe-timeout", SettingType::Time, "150ms", 1'000,
+       60 * Second, "silence after which others are asked to probe a member"},
+      {"members", "suspicion-limit", SettingType::Time, "800ms", 50'000,
+       600 * Second, "time a suspected member has to show that it lives"},
       {"members", "announcement-limit", SettingType::Time, "3s", 100'000,
        600 * Second, "silence after which the backend server counts as gone"},
       {"members", "leave-delay", SettingType::Time, "1s", 0, 60 * Second,
@@ -135,14 +143,18 @@
   Result.Choice = parseChoice(From.text("calls", "choice"));
   Result.Admission = parseAdmission(From.text("calls", "admission"));
   Result.PeerPort = static_cast<int>(From.integer("peers", "port"));
+  Result.EchoInterval = From.time("peers", "echo-interval");
+  Result.IdleEchoInterval = From.time("peers", "idle-echo-interval");
+  Result.EchoLimit = From.time("peers", "echo-limit");
   Result.MemberPort = static_cast<int>(From.integer("members", "port"));
   Result.ControlPort = static_cast<int>(From.integer("control", "port"));
   Result.AdminPort = static_cast<int>(From.integer("admin", "port"));
   std::istringstream Seeds(From.text("members", "seeds"));
   for (std::string Seed; Seeds >> Seed;)
     Result.Seeds.push_back(parseSeed(Seed));
-  Result.HeartbeatInterval = From.time("members", "heartbeat-interval");
-  Result.FailureLimit = From.time("members", "failure-limit");
+  Result.ProbeInterval = From.time("members", "probe-interval");
+  Result.ProbeTimeout = From.time("members", "probe-timeout");
+  Result.SuspicionLimit = From.time("members", "suspicion-limit");
   Result.AnnouncementLimit = From.time("members", "announcement-limit");
   Result.LeaveDelay = From.time("members", "leave-delay");
   Result.DrainLimit = From.time("members", "drain-limit");
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -28,6 +28,9 @@
   std::string Address;
   int CallPort = 0;
   int PeerPort = 0;
+  Common::Micros EchoInterval{0};
+  Common::Micros IdleEchoInterval{0};
+  Common::Micros EchoLimit{0};
   int MemberPort = 0;
   int ControlPort = 0;
   int AdminPort = 0;
@@ -36,8 +39,9 @@
   ChoiceName Choice = ChoiceName::Ours;
   AdmissionOrder Admission = AdmissionOrder::Lanes;
   std::vector<SeedAddress> Seeds;
-  Common::Micros HeartbeatInterval{0};
-  Common::Micros FailureLimit{0};
+  Common::Micros ProbeInterval{0};
+  Common::Micros ProbeTimeout{0};
+  Common::Micros SuspicionLimit{0};
   Common::Micros AnnouncementLimit{0};
   Common::Micros LeaveDelay{0};
   Common::Micros DrainLimit{0};
