Decide on spreading sets, checkpoints and a fold that all readers share

Each node polled the log, and a reader that began from anything but the first record could fork: AcceptedHistory refused a record whose id it had seen, also when its base had become the version in force. A reader that began from a checkpoint, or took a set from a peer, had not seen the id and accepted it. With that order back, EveryReaderFoldsTheSameHistory fails (HistoryFuzzTests, "Reader.current().Number == Same.current().Number"); acceptance no longer looks at ids, which only name the refusal. A record that was accepted can't be accepted again, since its base has passed. Ruled out: carrying the ids in checkpoints and sets (bytes for each transfer, and the window of ids would become part of the fold).

--- a/Source/Core/Config/AcceptedHistory.cpp
+++ b/Source/Core/Config/AcceptedHistory.cpp
@@ -51,18 +51,8 @@
     Judged.Detail = "level " + std::to_string(Proposal.Level);
     return Judged;
   }
-  const auto Seen = SeenIds.find(Proposal.Id);
-  if (Seen != SeenIds.end()) {
-    Judged.Code = ResultCode::RecordDuplicate;
-    Judged.Detail = "first seen at " + std::to_string(Seen->second);
-    return Judged;
-  }
-  SeenIds.emplace(Proposal.Id, Offset);
   if (Proposal.Base != Current.Number) {
-    Judged.Code = ResultCode::PublishRaceLost;
-    Judged.Winner = Current.Number;
-    Judged.Detail = "based on " + std::to_string(Proposal.Base) + ", but " +
-                    std::to_string(Current.Number) + " is in force";
+    refuseByBase(Judged);
     return Judged;
   }
   ObjectSetBuilder Builder;
@@ -76,19 +66,62 @@
   return Judged;
 }
 
+// Acceptance must not depend on the ids seen: a reader that began from a
+// checkpoint or from a peer's set has not seen them all. A record that was
+// accepted can't be accepted again, as its base has passed.
+void AcceptedHistory::refuseByBase(Verdict &Judged) const {
+  const auto Seen = SeenIds.find(Judged.RecordId);
+  if (Seen != SeenIds.end()) {
+    Judged.Code = ResultCode::RecordDuplicate;
+    Judged.Detail = "first seen at " + std::to_string(Seen->second);
+    return;
+  }
+  Judged.Code = ResultCode::PublishRaceLost;
+  Judged.Winner = Current.Number;
+  Judged.Detail = "based on " + std::to_string(Judged.Base) + ", but " +
+                  std::to_string(Current.Number) + " is in force";
+}
+
 ResultCode AcceptedHistory::adopt(const Accepted &Newer) {
   if (Newer.Level > CurrentRuleLevel)
     return ResultCode::RuleLevelUnknown;
   if (Newer.Number <= Current.Number)
     return ResultCode::VersionNotNewer;
   Current = Newer;
-  if (Newer.Number > LastOffset)
-    LastOffset = Newer.Number;
+  moveTo(Newer.Number);
+  return ResultCode::Ok;
+}
+
+ResultCode AcceptedHistory::restore(const Checkpoint &Later) {
+  if (Later.Level > CurrentRuleLevel)
+    return ResultCode::RuleLevelUnknown;
+  if (Later.Offset <= LastOffset)
+    return ResultCode::VersionNotNewer;
+  if (Later.Number < Current.Number || Later.Number > Later.Offset)
+    return ResultCode::CheckpointDamaged;
+  if (Later.Number > Current.Number) {
+    ObjectSetBuilder Builder;
+    Builder.input("checkpoint " + std::to_string(Later.Offset), Later.SetText);
+    if (!Builder.faults().empty())
+      return ResultCode::CheckpointDamaged;
+    Current = Accepted{Later.Number, Later.Level, Builder.build()};
+  }
+  moveTo(Later.Offset);
   return ResultCode::Ok;
 }
 
+void AcceptedHistory::moveTo(Version Offset) {
+  if (Offset <= LastOffset)
+    return;
+  LastOffset = Offset;
+  // The record that could not be judged lies behind.
+  Halted = false;
+}
+
 void AcceptedHistory::remember(const Verdict &Judged) {
   Verdicts.push_back(Judged);
+  if (!Judged.RecordId.empty())
+    SeenIds.emplace(Judged.RecordId, Judged.At);
   if (Verdicts.size() > MaxVerdicts) {
     SeenIds.erase(Verdicts.front().RecordId);
     Verdicts.pop_front();
--- a/Source/Core/Config/AcceptedHistory.h
+++ b/Source/Core/Config/AcceptedHistory.h
@@ -32,6 +32,15 @@
   ObjectSetPtr Set;
 };
 
+// The state of a history after the record at Offset.
+struct Checkpoint {
+  Version Offset = 0;
+  Version Number = 0;
+  RuleLevel Level = CurrentRuleLevel;
+  // Canonical text of the set of version Number.
+  std::string SetText;
+};
+
 // Folds the records of the log, in order, into the accepted history. The same
 // records give the same result on every node, so no node has to be asked.
 class AcceptedHistory {
@@ -44,6 +53,8 @@
 
   // Takes over a set that another reader derived. Refused unless it is newer.
   Common::ResultCode adopt(const Accepted &Newer);
+  // Goes on from a checkpoint. Refused unless it stands for a later offset.
+  Common::ResultCode restore(const Checkpoint &Later);
 
   const Accepted &current() const { return Current; }
   Version lastOffset() const { return LastOffset; }
@@ -53,6 +64,8 @@
 
 private:
   Verdict judge(Version Offset, const Record &Proposal);
+  void refuseByBase(Verdict &Judged) const;
+  void moveTo(Version Offset);
   void remember(const Verdict &Judged);
 
   Accepted Current;
--- /dev/null
+++ b/Source/Core/Config/Spreader.cpp
@@ -0,0 +1,386 @@
+#include "Config/Spreader.h"
+
+#include <algorithm>
+
+#include "Config/Hash.h"
+#include "Config/ObjectSetBuilder.h"
+
+namespace Config {
+
+using Common::ResultCode;
+
+namespace {
+
+// Versions that can serve as the base of a delta.
+constexpr std::size_t KeptSets = 4;
+
+} // namespace
+
+Spreader::Spreader(SpreadOptions Options, Common::SteadyTime Start)
+    : Given(std::move(Options)), Start(Start), Now(Start), Random(Given.Seed),
+      Election(Given.Node, Given.DataCentre, Given.TakeoverDelay, Start),
+      Flights(Given.MaxFlights, Given.FlightLimit), NextPull(Start),
+      Backoff(Given.LeastBackoff), NextAnnouncement(Start),
+      DiscoveryJitter(jitter(Given.PeerDiscovery)), NextCheckpoint(Start) {}
+
+SpreadActions Spreader::setPeers(std::vector<SpreadPeer> Alive,
+                                 Common::SteadyTime Time) {
+  Now = Time;
+  Peers = std::move(Alive);
+  std::erase_if(Peers, [this](const SpreadPeer &Each) {
+    return Each.Node == Given.Node;
+  });
+  Election.setPeers(Peers, Now);
+  return settle();
+}
+
+SpreadActions Spreader::take(const SpreadMessage &Content, SpreadLink Link,
+                             Common::SteadyTime Time) {
+  Now = Time;
+  std::visit([&](const auto &Part) { take(Part, Link); }, Content);
+  return settle();
+}
+
+SpreadActions Spreader::peerLost(const std::string &Address,
+                                 Common::SteadyTime Time) {
+  Now = Time;
+  for (const SpreadPeer &Each : Peers)
+    if (Each.Address == Address)
+      Flights.end(Each.Node);
+  if (Asked && Asked->Address == Address)
+    endPull(false);
+  return settle();
+}
+
+SpreadActions Spreader::tick(Common::SteadyTime Time) {
+  Now = Time;
+  Flights.expire(Now);
+  if (Asked && Asked->Ends <= Now)
+    endPull(false);
+  return settle();
+}
+
+SpreadActions Spreader::record(Version Offset, const Record &Proposal,
+                               std::optional<Verdict> &Judged,
+                               Common::SteadyTime Time) {
+  Now = Time;
+  Judged = History.apply(Offset, Proposal);
+  return settle();
+}
+
+SpreadActions Spreader::malformed(Version Offset, const std::string &Detail,
+                                  std::optional<Verdict> &Judged,
+                                  Common::SteadyTime Time) {
+  Now = Time;
+  Judged = History.applyMalformed(Offset, Detail);
+  return settle();
+}
+
+SpreadActions Spreader::restored(const Checkpoint &Later, ResultCode &Result,
+                                 Common::SteadyTime Time) {
+  Now = Time;
+  Result = History.restore(Later);
+  return settle();
+}
+
+SpreadActions Spreader::logAnswered(bool AtEnd, Common::SteadyTime Time) {
+  Now = Time;
+  LogAnswers = true;
+  LogRead = LogRead || AtEnd;
+  return settle();
+}
+
+void Spreader::checkpointFailed(Common::SteadyTime Time) {
+  NextCheckpoint = Time + Given.CheckpointRetry;
+}
+
+void Spreader::take(const HeldVersion &Part, SpreadLink Link) {
+  (void)Link;
+  Flights.end(Part.Node);
+  if (Part.ReadsLog)
+    Election.heardReader(Part.Node, Now);
+  for (SpreadPeer &Each : Peers)
+    if (Each.Node == Part.Node) {
+      Each.Held = std::max(Each.Held, Part.Held);
+      if (Asked && Asked->Address == Each.Address)
+        endPull(false);
+    }
+}
+
+void Spreader::take(const SetRequest &Part, SpreadLink Link) {
+  const SetSnapshot *Answer = snapshotFor(Part.Held, Part.WholeOnly);
+  if (!Answer)
+    Actions.push_back(AnswerPeer{
+        Link, HeldVersion{Given.Node, History.current().Number, false}});
+  else if (Flights.start(Part.Node, Now))
+    Actions.push_back(AnswerPeer{Link, *Answer});
+  else
+    Actions.push_back(AnswerPeer{Link, RequestRefused{Given.Node}});
+}
+
+void Spreader::take(const SetSnapshot &Part, SpreadLink Link) {
+  const bool WasAsked = Asked.has_value();
+  ResultCode Result = ResultCode::VersionNotNewer;
+  if (Part.Number > History.current().Number) {
+    if (const ObjectSetPtr Set = unpack(Part, Result))
+      Result = History.adopt(Accepted{Part.Number, Part.Level, Set});
+    WantWhole = Result != ResultCode::Ok && Part.Base != 0;
+  }
+  if (Result != ResultCode::Ok && Result != ResultCode::VersionNotNewer)
+    Actions.push_back(RefuseSnapshot{Part.Node, Part.Number, Result});
+  if (WasAsked)
+    endPull(Result == ResultCode::Ok);
+  if (WantWhole) {
+    // Its base is not what this node has.
+    Actions.push_back(AnswerPeer{
+        Link, SetRequest{Given.Node, History.current().Number, true}});
+    return;
+  }
+  Actions.push_back(AnswerPeer{
+      Link, HeldVersion{Given.Node, History.current().Number, false}});
+}
+
+void Spreader::take(const RequestRefused &Part, SpreadLink Link) {
+  (void)Part;
+  (void)Link;
+  endPull(false);
+}
+
+ObjectSetPtr Spreader::unpack(const SetSnapshot &Part, ResultCode &Result) {
+  Result = ResultCode::PublishSetInvalid;
+  if (Part.Level > CurrentRuleLevel) {
+    Result = ResultCode::RuleLevelUnknown;
+    return nullptr;
+  }
+  std::string Text = Part.Content.Changed;
+  if (Part.Base != 0) {
+    const KeptSet *Base = keptSet(Part.Base);
+    if (!Base) {
+      Result = ResultCode::VersionUnknown;
+      return nullptr;
+    }
+    Text = applyDelta(Base->Text, Part.Content);
+  }
+  ObjectSetBuilder Builder;
+  Builder.input("version " + std::to_string(Part.Number), Text);
+  if (!Builder.faults().empty())
+    return nullptr;
+  ObjectSetPtr Set = Builder.build();
+  return hashOf(Set->canonicalText()) == Part.Hash ? Set : nullptr;
+}
+
+SpreadActions Spreader::settle() {
+  settleReading();
+  settleSet();
+  settleStart();
+  settlePushes();
+  settlePull();
+  settleAnnouncement();
+  settleCheckpoint();
+  SpreadActions Result;
+  Result.swap(Actions);
+  return Result;
+}
+
+void Spreader::settleReading() {
+  // A starting node that knew nobody would take itself for the reader; a herd
+  // of them would go to the log together.
+  const bool Discovered =
+      Now - Start >= DiscoveryJitter + Given.PeerDiscovery / 4;
+  const bool Wanted =
+      Given.EveryNodeReads || (Discovered && Election.isReader(Now));
+  if (Wanted == Reading)
+    return;
+  Reading = Wanted;
+  LogAnswers = false;
+  if (Wanted)
+    Actions.push_back(StartReading{});
+  else
+    Actions.push_back(StopReading{});
+}
+
+void Spreader::settleSet() {
+  const Accepted &Current = History.current();
+  if (!Current.Set || (!Kept.empty() && Kept.back().Number == Current.Number))
+    return;
+  Kept.push_back({Current.Number, Current.Set->canonicalText()});
+  if (Kept.size() > KeptSets)
+    Kept.pop_front();
+  Snapshots.clear();
+  WantWhole = false;
+  if (Reading && !Given.EveryNodeReads)
+    queuePushes();
+}
+
+void Spreader::settleStart() {
+  const Version Number = History.current().Number;
+  if (Number == 0 || Number == Installed)
+    return;
+  const bool Discovered = Now - Start >= Given.PeerDiscovery;
+  // Until then a peer or the log may offer a higher version.
+  Started = Started || LogRead || (Discovered && highestHeld(true) <= Number) ||
+            Now - Start >= Given.StartLimit;
+  if (!Started)
+    return;
+  Installed = Number;
+  Actions.push_back(InstallSet{History.current()});
+}
+
+void Spreader::queuePushes() {
+  PushQueue.clear();
+  for (const SpreadPeer &Each : Peers)
+    if (Each.DataCentre == Given.DataCentre &&
+        Each.Held < History.current().Number)
+      PushQueue.push_back(Each.Node);
+}
+
+void Spreader::settlePushes() {
+  while (!PushQueue.empty()) {
+    const SpreadPeer *Target = findPeer(PushQueue.front());
+    if (Target && Target->Held < History.current().Number) {
+      if (!Flights.start(Target->Node, Now))
+        return;
+      // A peer that has not told its version yet gets the whole set.
+      if (const SetSnapshot *Content = snapshotFor(Target->Held, false))
+        Actions.push_back(SendToPeer{Target->Address, *Content});
+    }
+    PushQueue.pop_front();
+  }
+}
+
+Version Spreader::highestHeld(bool AnyDataCentre) const {
+  Version Highest = 0;
+  for (const SpreadPeer &Each : Peers)
+    if (AnyDataCentre || Each.DataCentre == Given.DataCentre)
+      Highest = std::max(Highest, Each.Held);
+  return Highest;
+}
+
+const SpreadPeer *Spreader::choosePullSource() {
+  // Sets cross to another data centre once, to the reader; the others wait for
+  // it unless it fails them.
+  const bool MayCross =
+      Reading || (BehindSince && Now - *BehindSince > Given.TakeoverDelay * 2);
+  const Version Own = History.current().Number;
+  bool Cross = false;
+  Version Highest = highestHeld(false);
+  if (Highest <= Own && MayCross) {
+    Cross = true;
+    Highest = highestHeld(true);
+  }
+  if (Highest <= Own)
+    return nullptr;
+  std::vector<const SpreadPeer *> Best;
+  for (const SpreadPeer &Each : Peers)
+    if (Each.Held == Highest && (Cross || Each.DataCentre == Given.DataCentre))
+      Best.push_back(&Each);
+  std::uniform_int_distribution<std::size_t> Pick(0, Best.size() - 1);
+  return Best[Pick(Random)];
+}
+
+void Spreader::settlePull() {
+  const Version Own = History.current().Number;
+  if (highestHeld(true) <= Own) {
+    BehindSince.reset();
+    return;
+  }
+  if (!BehindSince) {
+    BehindSince = Now;
+    // A node without a set can't serve; it does not wait for a push.
+    const Common::Duration Wait =
+        Own == 0 ? Common::Duration(0) : Given.RepairDelay;
+    NextPull = std::max(NextPull, Now + Wait + jitter(Given.LeastBackoff));
+  }
+  if (Asked || Now < NextPull)
+    return;
+  const SpreadPeer *Source = choosePullSource();
+  if (!Source)
+    return;
+  Asked = Pull{Source->Address, Now + Given.FlightLimit};
+  Actions.push_back(
+      SendToPeer{Source->Address, SetRequest{Given.Node, Own, WantWhole}});
+}
+
+void Spreader::endPull(bool Served) {
+  if (!Asked)
+    return;
+  Asked.reset();
+  if (Served) {
+    Backoff = Given.LeastBackoff;
+    return;
+  }
+  NextPull = Now + Backoff / 2 + jitter(Backoff);
+  Backoff = std::min(Backoff * 2, Given.MostBackoff);
+}
+
+void Spreader::settleAnnouncement() {
+  if (!Reading || !LogAnswers || Given.EveryNodeReads || Now < NextAnnouncement)
+    return;
+  NextAnnouncement = Now + Given.AnnounceInterval;
+  for (const std::string &Each : Election.standbys())
+    if (const SpreadPeer *Target = findPeer(Each))
+      Actions.push_back(
+          SendToPeer{Target->Address,
+                     HeldVersion{Given.Node, History.current().Number, true}});
+}
+
+void Spreader::settleCheckpoint() {
+  const bool Writes =
+      Reading && LogAnswers && LogRead && Installed > 0 && Election.rank() == 0;
+  if (!Writes || Now < NextCheckpoint)
+    return;
+  // Each data centre writes, the better ranked more often: when the first is
+  // cut off from the log, the others see it alive.
+  NextCheckpoint = Now + Given.CheckpointInterval *
+                             static_cast<int>(1 + Election.dataCentreRank());
+  Actions.push_back(WriteCheckpoint{});
+}
+
+const SetSnapshot *Spreader::snapshotFor(Version Held, bool WholeOnly) {
+  if (Kept.empty() || History.current().Number <= Held)
+    return nullptr;
+  const KeptSet *Base = WholeOnly ? nullptr : keptSet(Held);
+  const auto [Found, IsNew] = Snapshots.try_emplace(Base ? Held : 0);
+  if (IsNew)
+    Found->second = makeSnapshot(Base);
+  return &Found->second;
+}
+
+SetSnapshot Spreader::makeSnapshot(const KeptSet *Base) const {
+  const Accepted &Current = History.current();
+  SetSnapshot Result;
+  Result.Node = Given.Node;
+  Result.Number = Current.Number;
+  Result.Level = Current.Level;
+  Result.Hash = hashOf(Kept.back().Text);
+  Result.Content.Changed = Kept.back().Text;
+  if (!Base)
+    return Result;
+  SetDelta Change = makeDelta(Base->Text, Kept.back().Text);
+  if (Change.size() < Kept.back().Text.size()) {
+    Result.Base = Base->Number;
+    Result.Content = std::move(Change);
+  }
+  return Result;
+}
+
+const Spreader::KeptSet *Spreader::keptSet(Version Number) const {
+  for (const KeptSet &Each : Kept)
+    if (Each.Number == Number)
+      return &Each;
+  return nullptr;
+}
+
+const SpreadPeer *Spreader::findPeer(const std::string &Node) const {
+  for (const SpreadPeer &Each : Peers)
+    if (Each.Node == Node)
+      return &Each;
+  return nullptr;
+}
+
+Common::Duration Spreader::jitter(Common::Duration Most) {
+  std::uniform_int_distribution<Common::Duration::rep> Pick(0, Most.count());
+  return Common::Duration(Pick(Random));
+}
+
+} // namespace Config
--- a/Source/Core/Wire/Codec.cpp
+++ b/Source/Core/Wire/Codec.cpp
@@ -1,11 +1,7 @@
 #include "Wire/Codec.h"
 
-#include <memory>
-
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 #include "Common/Error.h"
+#include "Wire/CompactBytes.h"
 #include "Wire/Compression.h"
 #include "Zinnia_types.h"
 
@@ -13,40 +9,11 @@
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
 using Common::Error;
 using Common::ResultCode;
-using Protocol = TCompactProtocolT<TMemoryBuffer>;
 
 constexpr std::size_t MaxSetBytes = 64 << 20;
 
-template <class Struct> std::string pack(const Struct &Content) {
-  auto Buffer = std::make_shared<TMemoryBuffer>();
-  Protocol Out(Buffer);
-  Content.write(&Out);
-  return Buffer->getBufferAsString();
-}
-
-template <class Struct>
-Struct unpack(std::string_view Bytes, ResultCode OnFailure) {
-  // The library wants a mutable pointer but only reads in OBSERVE mode.
-  auto *Data =
-      reinterpret_cast<std::uint8_t *>(const_cast<char *>(Bytes.data()));
-  auto Buffer = std::make_shared<TMemoryBuffer>(
-      Data, static_cast<std::uint32_t>(Bytes.size()), TMemoryBuffer::OBSERVE);
-  // A damaged length must not make the library reserve that much.
-  Protocol In(Buffer, static_cast<std::int32_t>(Bytes.size()),
-              static_cast<std::int32_t>(Bytes.size()));
-  Struct Content;
-  try {
-    Content.read(&In);
-  } catch (const std::exception &Failure) {
-    throw Error(OnFailure, Failure.what());
-  }
-  return Content;
-}
-
 Generated::Frame toWire(const Hello &From) {
   Generated::Hello Part;
   Part.Node = From.Node;
@@ -201,12 +168,13 @@
 } // namespace
 
 std::string encodeFrame(const Frame &Content) {
-  return std::visit([](const auto &Part) { return pack(toWire(Part)); },
+  return std::visit([](const auto &Part) { return packCompact(toWire(Part)); },
                     Content);
 }
 
 Frame decodeFrame(std::string_view Bytes) {
-  auto Decoded = unpack<Generated::Frame>(Bytes, ResultCode::FrameMalformed);
+  auto Decoded =
+      unpackCompact<Generated::Frame>(Bytes, ResultCode::FrameMalformed);
   if (Decoded.__isset.Request)
     return fromWire(Decoded.Request);
   if (Decoded.__isset.Reply)
@@ -230,12 +198,12 @@
   Result.From = Content.From;
   for (const Membership::Member &Each : Content.Members)
     Result.Members.push_back(toWire(Each));
-  return pack(Result);
+  return packCompact(Result);
 }
 
 Heartbeat decodeHeartbeat(std::string_view Bytes) {
   const auto Decoded =
-      unpack<Generated::Datagram>(Bytes, ResultCode::FrameMalformed);
+      unpackCompact<Generated::Datagram>(Bytes, ResultCode::FrameMalformed);
   Heartbeat Result;
   Result.From = Decoded.From;
   for (const Generated::MemberState &Each : Decoded.Members)
@@ -252,12 +220,12 @@
   Result.Note = Content.Note;
   Result.CompressedSet = compress(Content.SetText);
   Result.Hash = static_cast<std::int64_t>(hashOf(Content.SetText));
-  return pack(Result);
+  return packCompact(Result);
 }
 
 Config::Record decodeRecord(std::string_view Bytes) {
-  auto Decoded =
-      unpack<Generated::ConfigRecord>(Bytes, ResultCode::RecordMalformed);
+  auto Decoded = unpackCompact<Generated::ConfigRecord>(
+      Bytes, ResultCode::RecordMalformed);
   Config::Record Result;
   Result.Id = std::move(Decoded.Id);
   Result.Base = Decoded.Base;
