Let one node of each data centre read the log and push sets to the others

The config service runs Config::Spreader: it reads the log only while it is the reader, loads a checkpoint when the offset it needs has expired, writes checkpoints, and counts messages and bytes by kind ([config-traffic] in the node's status). [log] follow = all keeps the former way.

[log] wait falls from 20 s to 2 s: a connection to the log that has gone silent is noticed only when a read passes its limit (wait + 2 s), and 7 s are allowed until a change is in force. Few nodes read, so the shorter wait costs little.

--- a/Source/Core/Node/AdminService.h
+++ b/Source/Core/Node/AdminService.h
@@ -60,6 +60,7 @@
     InForceSince = std::chrono::system_clock::now();
   }
   void take(ServersChanged &Part) { Servers = Part.Servers; }
+  void take(ConfigTraffic &Part) { Traffic = std::move(Part); }
   void take(RecordJudged &Part) {
     Verdicts.push_back(Part.Judged);
     if (Verdicts.size() > MaxVerdicts)
@@ -85,6 +86,10 @@
                InForceSince.time_since_epoch())
                .count()
         << "\n";
+    Out << "[config-traffic]\n";
+    for (const auto &[Kind, Sum] : Traffic.ByKind)
+      Out << Kind << " = " << Sum.Messages << " messages " << Sum.Bytes
+          << " bytes\n";
     if (Servers)
       for (const auto &[Service, Entries] : Servers->ByService) {
         Out << "[service " << Service << "]\n";
@@ -143,6 +148,7 @@
   Config::Version InForce = 0;
   Common::WallTime InForceSince;
   Routing::ServerViewPtr Servers;
+  ConfigTraffic Traffic;
   std::deque<Config::Verdict> Verdicts;
 };
 
--- a/Source/Core/Node/ConfigService.h
+++ b/Source/Core/Node/ConfigService.h
@@ -1,24 +1,31 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <random>
+#include <string>
 
 #include <spdlog/spdlog.h>
 
 #include "Common/Error.h"
-#include "Config/AcceptedHistory.h"
+#include "Config/Checkpoint.h"
+#include "Config/Spreader.h"
 #include "Http/Client.h"
 #include "Kernel/Host.h"
 #include "Node/Messages.h"
 #include "Node/NodeSettings.h"
 #include "Platform/LogClient.h"
 #include "Wire/Codec.h"
+#include "Wire/ConfigCodec.h"
 
 namespace Node {
 
-// Follows the log and hands each accepted set to the front, whole.
+// Runs the decisions on spreading: reads the log when this node is the reader
+// of its data centre, exchanges sets with other nodes and hands each accepted
+// set to the front, whole.
 template <Kernel::MessageSink<FrontMessage> Front,
-          Kernel::MessageSink<AdminMessage> Admin>
+          Kernel::MessageSink<AdminMessage> Admin,
+          Kernel::MessageSink<ControlMessage> Control>
 class ConfigService {
 public:
   using Message = ConfigMessage;
@@ -26,21 +33,24 @@
   struct Sinks {
     Front ToFront;
     Admin ToAdmin;
+    Control ToControl;
   };
 
   ConfigService(Kernel::Context Around, const NodeSettings &Settings,
                 Sinks Targets)
       : Home(Around.Home), Settings(Settings), Targets(std::move(Targets)),
-        Random(std::random_device{}()) {}
+        Random(std::random_device{}()),
+        Spread(optionsFrom(Settings, Random()), now()) {}
 
   void start() {
     Transport = std::make_unique<Http::Client>(Home);
     Log = std::make_unique<Platform::LogClient>(*Transport, Settings.LogUrl);
-    read();
+    tick();
   }
 
-  // Nodes do not pass configuration on to one another yet.
-  void handle(const Message &Content) { (void)Content; }
+  void handle(const Message &Content) {
+    std::visit([this](const auto &Part) { this->take(Part); }, Content);
+  }
 
   void stop() {
     Log.reset();
@@ -48,42 +58,299 @@
   }
 
 private:
+  static constexpr Common::Millis TickInterval{100};
+  static constexpr Common::Millis LeastRetry{100};
+  static constexpr Common::Millis MostRetry{1000};
+  static constexpr Common::Millis HaltedRetry{10'000};
+  static constexpr Common::Micros AppendLimit{5'000'000};
+  static constexpr std::size_t ChunkBytes = 256 << 10;
+  static constexpr const char *LogBytes = "log-read";
+
+  static Config::SpreadOptions optionsFrom(const NodeSettings &Settings,
+                                           std::uint64_t Seed) {
+    Config::SpreadOptions Options;
+    Options.Node = Settings.Name;
+    Options.DataCentre = Settings.DataCentre;
+    Options.EveryNodeReads = Settings.EveryNodeReads;
+    Options.Seed = Seed;
+    Options.CheckpointInterval = Settings.CheckpointInterval;
+    return Options;
+  }
+
+  static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
+
+  void tick() {
+    act(Spread.tick(now()));
+    reportBytes();
+    Clock.after(TickInterval, [this] { tick(); });
+  }
+
+  void take(const MembersChanged &Part) {
+    std::vector<Config::SpreadPeer> Peers;
+    for (const Membership::Member &Each : *Part.Alive)
+      Peers.push_back({Each.Node, Each.DataCentre,
+                       Each.Address + ":" + std::to_string(Each.ControlPort),
+                       Each.ConfigVersion});
+    act(Spread.setPeers(std::move(Peers), now()));
+  }
+  void take(const EnvelopeArrived &Part) {
+    try {
+      const Config::SpreadMessage Content = Wire::decodeSpread(Part.Content);
+      count("received-" + kindOf(Content), Part.Content.size());
+      act(Spread.take(Content, Part.Origin, now()));
+    } catch (const Common::Error &Failure) {
+      spdlog::warn("configuration message: {}", Failure.what());
+    }
+  }
+  void take(const EnvelopeLost &Part) {
+    act(Spread.peerLost(Part.Address, now()));
+  }
+
+  void act(const Config::SpreadActions &Actions) {
+    for (const Config::SpreadAction &Each : Actions)
+      std::visit([this](const auto &Part) { this->perform(Part); }, Each);
+  }
+
+  void perform(const Config::StartReading &) {
+    spdlog::info("this node reads the log for data centre {}",
+                 Settings.DataCentre);
+    if (!Waiting)
+      read();
+  }
+  void perform(const Config::StopReading &) {
+    spdlog::info("another node reads the log");
+    if (Transfer)
+      Log->cancel(*Transfer);
+    Transfer.reset();
+    if (Retry)
+      Clock.cancel(*Retry);
+    Retry.reset();
+    Waiting = false;
+  }
+  void perform(const Config::InstallSet &Part) {
+    spdlog::info("version {} is accepted", Part.Newest.Number);
+    Targets.ToFront.post(ConfigAccepted{Part.Newest});
+  }
+  void perform(const Config::SendToPeer &Part) {
+    Targets.ToControl.post(
+        SendEnvelope{Part.Address, ConfigName, encode(Part.Content)});
+  }
+  void perform(const Config::AnswerPeer &Part) {
+    Targets.ToControl.post(
+        ReplyEnvelope{Part.Link, ConfigName, encode(Part.Content)});
+  }
+  void perform(const Config::RefuseSnapshot &Part) {
+    spdlog::warn("version {} from {} is not taken: {}", Part.Number, Part.Node,
+                 Common::resultCodeName(Part.Code));
+  }
+  void perform(const Config::WriteCheckpoint &) {
+    auto Chunks = std::make_shared<std::vector<Config::CheckpointChunk>>(
+        Config::splitCheckpoint(Settings.Name + "-" + std::to_string(Random()),
+                                Spread.history(), ChunkBytes));
+    writeChunk(Chunks, 0);
+  }
+
+  std::string encode(const Config::SpreadMessage &Content) {
+    const auto *Set = std::get_if<Config::SetSnapshot>(&Content);
+    std::string Bytes = Set ? encodeOnce(*Set) : Wire::encodeSpread(Content);
+    count("sent-" + kindOf(Content), Bytes.size());
+    return Bytes;
+  }
+
+  // A set goes to many nodes; it is compressed once for each base.
+  std::string encodeOnce(const Config::SetSnapshot &Set) {
+    if (EncodedNumber != Set.Number)
+      Encoded.clear();
+    EncodedNumber = Set.Number;
+    std::string &Bytes = Encoded[Set.Base];
+    if (Bytes.empty())
+      Bytes = Wire::encodeSpread(Set);
+    return Bytes;
+  }
+
+  static std::string kindOf(const Config::SpreadMessage &Content) {
+    if (const auto *Set = std::get_if<Config::SetSnapshot>(&Content))
+      return Set->Base == 0 ? "whole-set" : "delta";
+    if (std::holds_alternative<Config::SetRequest>(Content))
+      return "request";
+    return std::holds_alternative<Config::HeldVersion>(Content) ? "held-version"
+                                                                : "refusal";
+  }
+
+  void count(const std::string &Kind, std::size_t Bytes) {
+    ByteCount &Sum = Traffic[Kind];
+    ++Sum.Messages;
+    Sum.Bytes += Bytes;
+    TrafficChanged = true;
+  }
+
+  void reportBytes() {
+    if (!TrafficChanged)
+      return;
+    TrafficChanged = false;
+    Targets.ToAdmin.post(ConfigTraffic{Traffic});
+  }
+
   void read() {
-    Log->read(Settings.LogStream, History.lastOffset() + 1, Settings.LogWait,
-              [this](Platform::ReadResult Result) { take(Result); });
+    Waiting = true;
+    Transfer =
+        Log->read(Settings.LogStream, Spread.history().lastOffset() + 1,
+                  Settings.LogWait, [this](const Platform::ReadResult &Result) {
+                    Transfer.reset();
+                    Waiting = false;
+                    take(Result);
+                  });
+  }
+
+  void readAfter(Common::Millis Most) {
+    if (Waiting)
+      return;
+    Waiting = true;
+    // Jitter keeps a herd of nodes from returning in step.
+    std::uniform_int_distribution<Common::Millis::rep> Delay(LeastRetry.count(),
+                                                             Most.count());
+    Retry = Clock.after(Common::Millis(Delay(Random)), [this] {
+      Retry.reset();
+      Waiting = false;
+      readOn();
+    });
+  }
+
+  void readOn() {
+    if (Spread.isReading() && !Waiting)
+      read();
   }
 
   void take(const Platform::ReadResult &Result) {
+    count(LogBytes, Result.Bytes);
+    if (Result.Code == Common::ResultCode::LogOffsetExpired) {
+      loadCheckpoint(Result.First);
+      return;
+    }
     if (Result.Code != Common::ResultCode::Ok) {
       spdlog::warn("log: {} {}", Common::resultCodeName(Result.Code),
                    Result.Detail);
-      // Jitter keeps a herd of nodes from returning in step.
-      std::uniform_int_distribution<int> Delay(100, 1000);
-      Clock.after(Common::Millis(Delay(Random)), [this] { read(); });
+      Spread.logFailed();
+      readAfter(MostRetry);
       return;
     }
     for (const Platform::LogRecord &Each : Result.Records)
       judge(Each);
-    read();
+    const bool Stuck = Spread.history().isHalted();
+    const bool AtEnd =
+        Stuck || Spread.history().lastOffset() + 1 >= Result.Next;
+    act(Spread.logAnswered(AtEnd, now()));
+    if (Stuck)
+      readAfter(HaltedRetry);
+    else
+      readOn();
   }
 
   void judge(const Platform::LogRecord &Taken) {
     std::optional<Config::Verdict> Judged;
     try {
-      Judged = History.apply(Taken.At, Wire::decodeRecord(Taken.Content));
+      act(Spread.record(Taken.At, Wire::decodeRecord(Taken.Content), Judged,
+                        now()));
     } catch (const Common::Error &Failure) {
-      Judged = History.applyMalformed(Taken.At, Failure.what());
+      act(Spread.malformed(Taken.At, Failure.what(), Judged, now()));
     }
     if (!Judged)
       return;
     Targets.ToAdmin.post(RecordJudged{*Judged});
-    if (!Judged->isAccepted()) {
+    if (!Judged->isAccepted())
       spdlog::warn("record {}: {} {}", Judged->At,
                    Common::resultCodeName(Judged->Code), Judged->Detail);
+  }
+
+  // The records before ConfigFirst are gone; only a checkpoint can tell what
+  // they made.
+  void loadCheckpoint(Config::Version ConfigFirst) {
+    Waiting = true;
+    Transfer =
+        Log->read(Settings.CheckpointStream, CheckpointNext, Common::Micros(0),
+                  [this, ConfigFirst](const Platform::ReadResult &Result) {
+                    Transfer.reset();
+                    Waiting = false;
+                    takeChunks(ConfigFirst, Result);
+                  });
+  }
+
+  void takeChunks(Config::Version ConfigFirst,
+                  const Platform::ReadResult &Result) {
+    count("checkpoint-read", Result.Bytes);
+    if (Result.Code == Common::ResultCode::LogOffsetExpired &&
+        Result.First > CheckpointNext) {
+      CheckpointNext = Result.First;
+      loadCheckpoint(ConfigFirst);
+      return;
+    }
+    if (Result.Code != Common::ResultCode::Ok) {
+      Spread.logFailed();
+      readAfter(MostRetry);
+      return;
+    }
+    for (const Platform::LogRecord &Each : Result.Records) {
+      CheckpointNext = Each.At + 1;
+      takeChunk(Each);
+    }
+    if (!Result.Records.empty() && CheckpointNext < Result.Next) {
+      loadCheckpoint(ConfigFirst);
+      return;
+    }
+    restore(ConfigFirst);
+  }
+
+  void takeChunk(const Platform::LogRecord &Taken) {
+    try {
+      const Common::ResultCode Code =
+          Checkpoints.take(Wire::decodeChunk(Taken.Content));
+      if (Code != Common::ResultCode::Ok)
+        spdlog::warn("checkpoint record {}: {}", Taken.At,
+                     Common::resultCodeName(Code));
+    } catch (const Common::Error &Failure) {
+      spdlog::warn("checkpoint record {}: {}", Taken.At, Failure.what());
+    }
+  }
+
+  void restore(Config::Version ConfigFirst) {
+    const auto &Newest = Checkpoints.newest();
+    Common::ResultCode Code = Common::ResultCode::HistoryGap;
+    if (Newest && Newest->Offset + 1 >= ConfigFirst)
+      act(Spread.restored(*Newest, Code, now()));
+    if (Code == Common::ResultCode::Ok) {
+      spdlog::info("checkpoint of offset {} with version {} is loaded",
+                   Newest->Offset, Newest->Number);
+      readOn();
+      return;
+    }
+    spdlog::error("{} {}: the log begins at {}, this node has {}",
+                  Common::resultCodeNumber(Code), Common::resultCodeName(Code),
+                  ConfigFirst, Spread.history().lastOffset());
+    Spread.logFailed();
+    readAfter(MostRetry);
+  }
+
+  using Chunks = std::shared_ptr<std::vector<Config::CheckpointChunk>>;
+
+  void writeChunk(const Chunks &Parts, std::size_t Index) {
+    if (Index == Parts->size()) {
+      spdlog::info("checkpoint of version {} is written",
+                   Parts->empty() ? 0 : Parts->front().Number);
       return;
     }
-    spdlog::info("version {} by {} accepted", Judged->At, Judged->Author);
-    Targets.ToFront.post(ConfigAccepted{History.current()});
+    std::string Content = Wire::encodeChunk((*Parts)[Index]);
+    count("checkpoint-written", Content.size());
+    Log->append(Settings.CheckpointStream, std::move(Content), AppendLimit,
+                [this, Parts, Index](const Platform::AppendResult &Result) {
+                  if (Result.Code != Common::ResultCode::Ok) {
+                    spdlog::warn("checkpoint: {} {}",
+                                 Common::resultCodeName(Result.Code),
+                                 Result.Detail);
+                    Spread.checkpointFailed(now());
+                    return;
+                  }
+                  writeChunk(Parts, Index + 1);
+                });
   }
 
   Kernel::Task &Home;
@@ -91,7 +358,17 @@
   NodeSettings Settings;
   Sinks Targets;
   std::mt19937_64 Random;
-  Config::AcceptedHistory History;
+  Config::Spreader Spread;
+  Config::CheckpointAssembler Checkpoints;
+  Platform::Offset CheckpointNext = 1;
+  std::map<std::string, ByteCount> Traffic;
+  Config::Version EncodedNumber = 0;
+  std::map<Config::Version, std::string> Encoded;
+  bool TrafficChanged = false;
+  // A read is under way or will begin by a timer.
+  bool Waiting = false;
+  std::optional<Http::TransferId> Transfer;
+  std::optional<Kernel::TimerId> Retry;
   std::unique_ptr<Http::Client> Transport;
   std::unique_ptr<Platform::LogClient> Log;
 };
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -120,6 +121,15 @@
 struct RecordJudged {
   Config::Verdict Judged;
 };
-using AdminMessage = std::variant<VersionInForce, ServersChanged, RecordJudged>;
+struct ByteCount {
+  std::uint64_t Messages = 0;
+  std::uint64_t Bytes = 0;
+};
+// What keeping the configuration cost since the start, by kind of message.
+struct ConfigTraffic {
+  std::map<std::string, ByteCount> ByKind;
+};
+using AdminMessage =
+    std::variant<VersionInForce, ServersChanged, RecordJudged, ConfigTraffic>;
 
 } // namespace Node
--- a/Source/Core/Node/NodeBuilder.cpp
+++ b/Source/Core/Node/NodeBuilder.cpp
@@ -23,7 +23,8 @@
                            AdminAddress>;
 using PeersTask = PeersService<FrontAddress, BackendAddress>;
 using BackendTask = BackendService<PeersAddress>;
-using ConfigTask = ConfigService<FrontAddress, AdminAddress>;
+using ControlAddress = Kernel::Address<ControlMessage>;
+using ConfigTask = ConfigService<FrontAddress, AdminAddress, ControlAddress>;
 using MembersTask = MembersService<FrontAddress, ConfigAddress, AdminAddress>;
 using AdminTask = AdminService<BackendAddress, MembersAddress>;
 
@@ -106,8 +107,10 @@
       [Own](Kernel::Context Around) {
         return std::make_unique<ConfigTask>(
             Around, Own,
-            ConfigTask::Sinks{Around.Services.find<FrontMessage>(FrontName),
-                              Around.Services.find<AdminMessage>(AdminName)});
+            ConfigTask::Sinks{
+                Around.Services.find<FrontMessage>(FrontName),
+                Around.Services.find<AdminMessage>(AdminName),
+                Around.Services.find<ControlMessage>(ControlName)});
       });
   Builder.service<MembersTask>(
       MembersName, ControlTask, {FrontName, AdminName},
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -29,6 +29,13 @@
   return Seed;
 }
 
+bool isEveryNodeReading(const std::string &Follow) {
+  if (Follow != "readers" && Follow != "all")
+    throw Common::Error(Common::ResultCode::SettingsWrongType,
+                        "[log] follow: " + Follow + " is not readers or all");
+  return Follow == "all";
+}
+
 } // namespace
 
 const std::vector<Common::SettingRule> &nodeSettingRules() {
@@ -80,7 +87,13 @@
        "platform log, http://IP:port"},
       {"log", "stream", SettingType::Text, "config", 0, 0,
        "stream of configuration records"},
-      {"log", "wait", SettingType::Time, "20s", 10'000, 300 * Second,
+      {"log", "follow", SettingType::Text, "readers", 0, 0,
+       "who reads the log: readers (one node a data centre) or all"},
+      {"log", "checkpoint-stream", SettingType::Text, "checkpoints", 0, 0,
+       "stream of checkpoints"},
+      {"log", "checkpoint-interval", SettingType::Time, "10m", Second,
+       86400 * Second, "time between checkpoints; well below the retention"},
+      {"log", "wait", SettingType::Time, "2s", 10'000, 300 * Second,
        "how long one read waits at the log"},
       {"output", "log-level", SettingType::Text, "info", 0, 0,
        "trace, debug, info, warning, error, critical or off"},
@@ -113,6 +126,9 @@
   Result.LogUrl = From.text("log", "url");
   Result.LogStream = From.text("log", "stream");
   Result.LogWait = From.time("log", "wait");
+  Result.EveryNodeReads = isEveryNodeReading(From.text("log", "follow"));
+  Result.CheckpointStream = From.text("log", "checkpoint-stream");
+  Result.CheckpointInterval = From.time("log", "checkpoint-interval");
   return Result;
 }
 
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -35,6 +35,9 @@
   std::string LogUrl;
   std::string LogStream;
   Common::Micros LogWait{0};
+  bool EveryNodeReads = false;
+  std::string CheckpointStream;
+  Common::Micros CheckpointInterval{0};
 };
 
 // Throws SettingsWrongType for a seed that is no "IP:port".
--- a/Source/Core/Platform/LogClient.cpp
+++ b/Source/Core/Platform/LogClient.cpp
@@ -50,6 +50,7 @@
     Result.Code = ResultCode::LogUnavailable;
     return Result;
   }
+  Result.Bytes = From.Reply.Body.size();
   Result.First = headerNumber(From.Reply.Fields, "x-first-offset");
   Result.Next = headerNumber(From.Reply.Fields, "x-next-offset");
   if (From.Reply.Status == HttpGone) {
--- a/Source/Core/Platform/LogClient.h
+++ b/Source/Core/Platform/LogClient.h
@@ -32,6 +32,8 @@
   // The oldest offset the log still keeps, and the next it will give.
   Offset First = 0;
   Offset Next = 0;
+  // Length of the answer's body.
+  std::size_t Bytes = 0;
   std::string Detail;
 };
 
