Let operators publish, compare, roll back, explain and watch

An append that was answered with a failure was taken as not landed and appended again at once; the log may have taken it all the same. Now the log is searched for the record's id before each further append. A base that is not there yet is refused as VersionUnknown, since such a record could be refused once and accepted later.

A read that the log answers early and empty is repeated after a pause, so that a log that does not wait can't make a reader spin.

--- a/Source/Core/Config/SetDelta.cpp
+++ b/Source/Core/Config/SetDelta.cpp
@@ -1,5 +1,6 @@
 #include "Config/SetDelta.h"
 
+#include <algorithm>
 #include <map>
 
 namespace Config {
@@ -59,12 +60,25 @@
   return Result;
 }
 
-std::vector<std::string> changedObjects(std::string_view Base,
-                                        std::string_view Newer) {
+std::vector<std::string> SetDifference::all() const {
+  std::vector<std::string> Result = Added;
+  Result.insert(Result.end(), Removed.begin(), Removed.end());
+  Result.insert(Result.end(), Changed.begin(), Changed.end());
+  std::sort(Result.begin(), Result.end());
+  return Result;
+}
+
+SetDifference compareSets(std::string_view Base, std::string_view Newer) {
+  const ObjectTexts Before = splitObjects(Base);
   const SetDelta Change = makeDelta(Base, Newer);
-  std::vector<std::string> Result = Change.Removed;
-  for (const auto &[Name, Text] : splitObjects(Change.Changed))
-    Result.push_back(Name);
+  SetDifference Result;
+  Result.Removed = Change.Removed;
+  for (const auto &[Name, Text] : splitObjects(Change.Changed)) {
+    if (Before.contains(Name))
+      Result.Changed.push_back(Name);
+    else
+      Result.Added.push_back(Name);
+  }
   return Result;
 }
 
--- a/Source/Core/Config/SetDelta.h
+++ b/Source/Core/Config/SetDelta.h
@@ -23,7 +23,15 @@
 std::string applyDelta(std::string_view Base, const SetDelta &Change);
 
 // The names of the objects that differ between two canonical texts.
-std::vector<std::string> changedObjects(std::string_view Base,
-                                        std::string_view Newer);
+struct SetDifference {
+  std::vector<std::string> Added;
+  std::vector<std::string> Removed;
+  std::vector<std::string> Changed;
+
+  // All of them, sorted.
+  std::vector<std::string> all() const;
+};
+
+SetDifference compareSets(std::string_view Base, std::string_view Newer);
 
 } // namespace Config
--- a/Source/Core/Node/ConfigService.h
+++ b/Source/Core/Node/ConfigService.h
@@ -193,6 +193,7 @@
 
   void read() {
     Waiting = true;
+    ReadBegan = now();
     Transfer =
         Log->read(Settings.LogStream, Spread.history().lastOffset() + 1,
                   Settings.LogWait, [this](const Platform::ReadResult &Result) {
@@ -240,8 +241,13 @@
     const bool AtEnd =
         Stuck || Spread.history().lastOffset() + 1 >= Result.Next;
     act(Spread.logAnswered(AtEnd, now()));
+    // A log that does not wait must not make this node spin.
+    const bool Hasty =
+        Result.Records.empty() && now() - ReadBegan < Settings.LogWait / 2;
     if (Stuck)
       readAfter(HaltedRetry);
+    else if (Hasty)
+      readAfter(MostRetry);
     else
       readOn();
   }
@@ -367,6 +373,7 @@
   bool TrafficChanged = false;
   // A read is under way or will begin by a timer.
   bool Waiting = false;
+  Common::SteadyTime ReadBegan;
   std::optional<Http::TransferId> Transfer;
   std::optional<Kernel::TimerId> Retry;
   std::unique_ptr<Http::Client> Transport;
--- a/Source/Core/Operator/Publisher.cpp
+++ b/Source/Core/Operator/Publisher.cpp
@@ -1,8 +1,11 @@
 #include "Operator/Publisher.h"
 
+#include <algorithm>
 #include <random>
+#include <thread>
 
 #include "Common/Error.h"
+#include "Config/SetDelta.h"
 #include "Wire/Codec.h"
 
 namespace Operator {
@@ -14,7 +17,8 @@
 
 constexpr Common::Micros AppendLimit{3'000'000};
 constexpr Common::Micros VerdictWait{2'000'000};
-constexpr int AppendTries = 4;
+constexpr Common::Micros PublishLimit{20'000'000};
+constexpr Common::Millis RetryPause{250};
 
 std::string freshId() {
   std::random_device Source;
@@ -29,72 +33,84 @@
 
 } // namespace
 
-Publisher::Publisher(SyncHttp &Transport, std::string LogUrl,
-                     std::string Stream)
-    : Transport(Transport), LogUrl(std::move(LogUrl)),
-      Stream(std::move(Stream)) {}
+// The verdict, or null when the log surely does not have the record. Throws
+// when the log can't be read.
+const Config::Verdict *Publisher::lookUp(const std::string &Id,
+                                         Common::Micros Wait) {
+  Reader.catchUp();
+  const JudgedRecord *Found = Reader.findById(Id);
+  if (!Found && Wait.count() > 0) {
+    Reader.readMore(Wait);
+    Reader.catchUp();
+    Found = Reader.findById(Id);
+  }
+  return Found ? &Found->Judged : nullptr;
+}
 
-void Publisher::readOnce(Common::Micros Wait) {
-  const Platform::ReadResult Result =
-      Transport.read(LogUrl, Stream, History.lastOffset() + 1, Wait);
-  if (Result.Code == ResultCode::LogOffsetExpired)
-    throw Error(ResultCode::HistoryGap,
-                "the log begins at " + std::to_string(Result.First));
-  if (Result.Code != ResultCode::Ok)
-    throw Error(Result.Code, Result.Detail);
-  LogEnd = Result.Next;
-  for (const Platform::LogRecord &Each : Result.Records) {
+Config::Verdict Publisher::appendUntilJudged(const Config::Record &Proposal) {
+  const std::string Content = Wire::encodeRecord(Proposal);
+  const auto End = std::chrono::steady_clock::now() + PublishLimit;
+  bool MayHaveLanded = false;
+  std::string Failure;
+  while (std::chrono::steady_clock::now() < End) {
     try {
-      History.apply(Each.At, Wire::decodeRecord(Each.Content));
-    } catch (const Error &Failure) {
-      History.applyMalformed(Each.At, Failure.what());
+      if (!MayHaveLanded) {
+        const Platform::AppendResult Appended =
+            Transport.append(Place.Url, Place.Stream, Content, AppendLimit);
+        Failure = Appended.Detail;
+        MayHaveLanded = true;
+      }
+      if (const Config::Verdict *Judged = lookUp(Proposal.Id, VerdictWait))
+        return *Judged;
+      MayHaveLanded = false;
+    } catch (const Error &Unreadable) {
+      if (Unreadable.code() != ResultCode::LogUnavailable)
+        throw;
+      Failure = Unreadable.what();
+      std::this_thread::sleep_for(RetryPause);
     }
   }
+  throw Error(MayHaveLanded ? ResultCode::LogAnswerLost
+                            : ResultCode::LogUnavailable,
+              "record " + Proposal.Id + ": " + Failure);
 }
 
-const Config::AcceptedHistory &Publisher::catchUp() {
-  do
-    readOnce(Common::Micros(0));
-  while (History.lastOffset() + 1 < LogEnd && !History.isHalted());
-  return History;
-}
-
-std::optional<Config::Verdict>
-Publisher::findVerdict(const std::string &Id) const {
-  for (const Config::Verdict &Each : History.verdicts())
-    if (Each.RecordId == Id)
-      return Each;
-  return std::nullopt;
+std::vector<std::string>
+Publisher::conflictsOf(const Config::Verdict &Judged,
+                       const std::string &SetText) const {
+  std::vector<std::string> Result;
+  if (Judged.Code != ResultCode::PublishRaceLost ||
+      !Reader.knows(Judged.Base) || !Reader.knows(Judged.Winner))
+    return Result;
+  const std::string &Base = Reader.textOf(Judged.Base);
+  const auto Own = Config::compareSets(Base, SetText).all();
+  const auto Others =
+      Config::compareSets(Base, Reader.textOf(Judged.Winner)).all();
+  std::set_intersection(Own.begin(), Own.end(), Others.begin(), Others.end(),
+                        std::back_inserter(Result));
+  return Result;
 }
 
-Config::Verdict Publisher::publish(const Config::ObjectSet &Set,
-                                   const std::string &Author,
-                                   const std::string &Note,
-                                   std::optional<Config::Version> Base) {
-  catchUp();
+Publication Publisher::publish(const std::string &SetText,
+                               const std::string &Author,
+                               const std::string &Note,
+                               std::optional<Config::Version> Base) {
+  Reader.catchUp();
+  const Config::Version Newest = Reader.history().current().Number;
+  if (Base && *Base > Newest)
+    throw Error(ResultCode::VersionUnknown, "version " + std::to_string(*Base) +
+                                                "; the newest is " +
+                                                std::to_string(Newest));
   Config::Record Proposal;
   Proposal.Id = freshId();
-  Proposal.Base = Base.value_or(History.current().Number);
+  Proposal.Base = Base.value_or(Newest);
   Proposal.Author = Author;
   Proposal.Note = Note;
-  Proposal.SetText = Set.canonicalText();
-  const std::string Content = Wire::encodeRecord(Proposal);
-
-  std::string LastFailure;
-  for (int Try = 0; Try < AppendTries; ++Try) {
-    const Platform::AppendResult Appended =
-        Transport.append(LogUrl, Stream, Content, AppendLimit);
-    LastFailure = Appended.Detail;
-    if (Appended.Code == ResultCode::LogUnavailable)
-      continue;
-    // Whether or not the answer came, the log itself knows.
-    readOnce(VerdictWait);
-    catchUp();
-    if (const auto Judged = findVerdict(Proposal.Id))
-      return *Judged;
-  }
-  throw Error(ResultCode::LogUnavailable,
-              "record " + Proposal.Id + ": " + LastFailure);
+  Proposal.SetText = SetText;
+  Publication Result;
+  Result.Judged = appendUntilJudged(Proposal);
+  Result.Conflicts = conflictsOf(Result.Judged, SetText);
+  return Result;
 }
 
 } // namespace Operator
--- a/Source/Core/Operator/Publisher.h
+++ b/Source/Core/Operator/Publisher.h
@@ -2,35 +2,43 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
-#include "Config/AcceptedHistory.h"
-#include "Operator/SyncHttp.h"
+#include "Operator/HistoryReader.h"
 
 namespace Operator {
 
+struct Publication {
+  Config::Verdict Judged;
+  // Objects that both this set and the winner of the race changed.
+  std::vector<std::string> Conflicts;
+};
+
 // Publishes sets to the log and finds out what became of them.
 class Publisher {
 public:
-  Publisher(SyncHttp &Transport, std::string LogUrl, std::string Stream);
+  explicit Publisher(SyncHttp &Transport, LogPlace Place)
+      : Transport(Transport), Place(Place), Reader(Transport, Place) {}
 
-  // Reads the log up to its end. Throws LogUnavailable or HistoryGap.
-  const Config::AcceptedHistory &catchUp();
+  HistoryReader &history() { return Reader; }
 
   // Appends the set, based on Base or else on the version in force, and waits
-  // for the verdict on it. A lost answer is cleared up by reading the log.
-  Config::Verdict publish(const Config::ObjectSet &Set,
-                          const std::string &Author, const std::string &Note,
-                          std::optional<Config::Version> Base);
+  // for the verdict on it. When an answer is lost, the log is searched for the
+  // record before it is appended again. Throws VersionUnknown for a base that
+  // is not there yet, and LogAnswerLost when the outcome stays unknown.
+  Publication publish(const std::string &SetText, const std::string &Author,
+                      const std::string &Note,
+                      std::optional<Config::Version> Base);
 
 private:
-  void readOnce(Common::Micros Wait);
-  std::optional<Config::Verdict> findVerdict(const std::string &Id) const;
+  Config::Verdict appendUntilJudged(const Config::Record &Proposal);
+  const Config::Verdict *lookUp(const std::string &Id, Common::Micros Wait);
+  std::vector<std::string> conflictsOf(const Config::Verdict &Judged,
+                                       const std::string &SetText) const;
 
   SyncHttp &Transport;
-  std::string LogUrl;
-  std::string Stream;
-  Config::AcceptedHistory History;
-  Platform::Offset LogEnd = 0;
+  LogPlace Place;
+  HistoryReader Reader;
 };
 
 } // namespace Operator
--- a/Source/Programs/zinniactl/Main.cpp
+++ b/Source/Programs/zinniactl/Main.cpp
@@ -1,108 +1,77 @@
-#include <cstdio>
-#include <optional>
-
+#include "Commands.h"
 #include "Common/CommandLine.h"
 #include "Common/Error.h"
-#include "Operator/Publisher.h"
-#include "Operator/SetLoader.h"
 
 namespace {
 
-struct Options {
-  std::string LogUrl;
-  std::string Stream = "config";
-  std::string Author = "operator";
-  std::string Note;
-  std::string Base;
-  std::vector<std::string> Nodes;
-};
-
-using Arguments = std::vector<std::string>;
+using Control::Arguments;
+using Control::Options;
 
-// Prints every fault of the set; false when there is one.
-bool reportFaults(Config::ObjectSetBuilder &Builder) {
-  for (const Common::Fault &Each : Builder.faults())
-    std::fprintf(stderr, "%s\n", Each.text().c_str());
-  return Builder.faults().empty();
-}
+constexpr const char *CommandHelp =
+    "check PATH... | diff PATH... | publish PATH... | rollback VERSION | "
+    "explain VERSION | watch | status";
 
-int checkSet(const Arguments &Paths) {
-  Config::ObjectSetBuilder Builder;
-  Operator::loadInto(Builder, Paths);
-  if (!reportFaults(Builder))
-    return 1;
-  const Config::ObjectSetPtr Set = Builder.build();
-  std::printf("sound: %zu services, %zu routes, %zu kinds, %zu retry rules\n",
-              Set->services().size(), Set->routes().size(), Set->kinds().size(),
-              Set->retryRules().size());
-  return 0;
-}
-
-int publishSet(const Options &Given, const Arguments &Paths) {
-  Config::ObjectSetBuilder Builder;
-  Operator::loadInto(Builder, Paths);
-  if (!reportFaults(Builder))
-    return 1;
-  std::optional<Config::Version> Base;
-  if (!Given.Base.empty())
-    Base = std::stoll(Given.Base);
-  Operator::SyncHttp Transport;
-  Operator::Publisher Publishing(Transport, Given.LogUrl, Given.Stream);
-  const Config::Verdict Judged =
-      Publishing.publish(*Builder.build(), Given.Author, Given.Note, Base);
-  if (!Judged.isAccepted()) {
-    std::fprintf(stderr, "refused: %d %s: %s\n",
-                 Common::resultCodeNumber(Judged.Code),
-                 std::string(Common::resultCodeName(Judged.Code)).c_str(),
-                 Judged.Detail.c_str());
-    return 1;
-  }
-  std::printf("accepted: version %lld\n", static_cast<long long>(Judged.At));
-  return 0;
+[[noreturn]] void refuse(const std::string &Detail) {
+  throw Common::Error(Common::ResultCode::UsageError,
+                      Detail + "; --help shows what is allowed");
 }
 
-int showStatus(const Options &Given) {
-  Operator::SyncHttp Transport;
-  bool AllAnswered = true;
-  for (const std::string &Node : Given.Nodes) {
-    Http::ClientRequest Asked;
-    Asked.Url = "http://" + Node + "/v1/status";
-    const Http::ClientResult Result = Transport.send(std::move(Asked));
-    std::printf("; %s\n%s", Node.c_str(),
-                Result.Answered ? Result.Reply.Body.c_str()
-                                : "; 604 NodeUnreachable\n");
-    AllAnswered = AllAnswered && Result.Answered;
-  }
-  return AllAnswered ? 0 : 1;
+int runLogCommand(const std::string &Command, const Options &Given,
+                  const Arguments &Rest) {
+  if (Given.Log.Url.empty())
+    refuse("command " + Command + " needs --log");
+  if (Given.Wait && Given.Nodes.empty())
+    refuse("--wait needs the nodes, each with --node");
+  if (Command == "publish" && !Rest.empty())
+    return Control::publishSet(Given, Rest);
+  if (Command == "diff" && !Rest.empty())
+    return Control::showDifference(Given, Rest);
+  if (Command == "rollback" && Rest.size() == 1)
+    return Control::rollBack(Given, Rest[0]);
+  if (Command == "explain" && Rest.size() == 1)
+    return Control::explainRecord(Given, Rest[0]);
+  if (Command == "watch" && Rest.empty())
+    return Control::watchRecords(Given);
+  refuse("command " + Command + " is unknown or has wrong arguments");
 }
 
 int runControl(int Count, const char **Words) {
   Options Given;
+  Given.Log.Stream = "config";
+  Given.Log.CheckpointStream = "checkpoints";
+  Given.Author = "operator";
+  std::string Limit;
   Arguments Rest =
-      Common::CommandLine("zinniactl", "check PATH... | publish PATH... | "
-                                       "status")
-          .option("log", "URL", "Platform log, http://IP:port", Given.LogUrl)
-          .option("stream", "NAME", "Stream of the log", Given.Stream)
+      Common::CommandLine("zinniactl", CommandHelp)
+          .option("log", "URL", "Platform log, http://IP:port", Given.Log.Url)
+          .option("stream", "NAME", "Stream of the log", Given.Log.Stream)
+          .option("checkpoint-stream", "NAME", "Stream of checkpoints",
+                  Given.Log.CheckpointStream)
           .option("author", "NAME", "Who publishes", Given.Author)
           .option("note", "TEXT", "Why", Given.Note)
           .option("base", "VERSION", "Version the set was made from",
                   Given.Base)
           .list("node", "IP:PORT", "Admin socket of a node", Given.Nodes)
+          .flag("wait", "Wait until the nodes have the version in force",
+                Given.Wait)
+          .option("limit", "TIME",
+                  "How long to wait (7s by default) or to watch (1h)", Limit)
           .parse(Count, Words);
   if (Rest.empty())
-    throw Common::Error(Common::ResultCode::UsageError,
-                        "no command; --help shows them");
+    refuse("no command");
   const std::string Command = Rest.front();
   Rest.erase(Rest.begin());
+  if (Limit.empty())
+    Limit = Command == "watch" ? "1h" : "7s";
+  const auto Parsed = Common::parseDuration(Limit);
+  if (!Parsed)
+    refuse("--limit wants a time such as 500ms or 7s");
+  Given.Limit = *Parsed;
   if (Command == "check" && !Rest.empty())
-    return checkSet(Rest);
-  if (Command == "publish" && !Rest.empty() && !Given.LogUrl.empty())
-    return publishSet(Given, Rest);
-  if (Command == "status" && !Given.Nodes.empty())
-    return showStatus(Given);
-  throw Common::Error(Common::ResultCode::UsageError,
-                      "command " + Command +
-                          " is unknown or lacks arguments; --help shows them");
+    return Control::checkSet(Rest);
+  if (Command == "status" && Rest.empty() && !Given.Nodes.empty())
+    return Control::showStatus(Given);
+  return runLogCommand(Command, Given, Rest);
 }
 
 } // namespace
