Answer requests that arrive while an HTTP server ends

Cause of the log stand-in's SIGABRT at its stop: the destructor resumes what is suspended, then lets the daemon run once more; a request read in that run was handed to its owner and suspended, and libmicrohttpd aborts when it is stopped with a suspended connection. Nodes that poll the log made it likely. Such a request is now answered with 503 and never handed over. Ruled out: callers that are killed while they wait (25 stops with 8 waiting reads each, none aborted).

--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -93,12 +93,14 @@
   ExchangeId NextId = 1;
   bool RunScheduled = false;
   std::optional<Kernel::TimerId> Timer;
+  bool Stopping = false;
   // Guards jobs that outlive the server.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 Server::Impl::~Impl() {
   *Alive = false;
+  Stopping = true;
   Watch.reset();
   if (Timer)
     Clock.cancel(*Timer);
@@ -180,6 +182,12 @@
         "109 BodyTooLarge: at most " + std::to_string(BodyLimit) + " bytes\n"};
     return sendReply(Current);
   }
+  if (Stopping) {
+    // The last run of the daemon may still read requests; a connection that
+    // is suspended now would make the library abort.
+    Current.Reply = Response{503, {}, ""};
+    return sendReply(Current);
+  }
   if (!Current.Delivered) {
     Current.Delivered = true;
     OnRequest(Current.Id, std::move(Current.Asked));
--- a/Source/UnitTests/Http/HttpTests.cpp
+++ b/Source/UnitTests/Http/HttpTests.cpp
@@ -97,6 +97,33 @@
   BOOST_TEST(Third.get().Reply.Body == "/3");
 }
 
+BOOST_AUTO_TEST_CASE(StopsWhileARequestArrives) {
+  Loopback Around;
+  std::vector<Http::ExchangeId> Asked;
+  Around.OnRequest = [&](Http::ExchangeId Id, const auto &) {
+    Asked.push_back(Id);
+    if (Asked.size() == 1)
+      Around.Listener->answer(Id, {200, {}, "first"});
+  };
+  const Common::UniqueFd Caller(::socket(AF_INET, SOCK_STREAM, 0));
+  sockaddr_in Where{};
+  Where.sin_family = AF_INET;
+  Where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  Where.sin_port = htons(static_cast<std::uint16_t>(Around.Listener->port()));
+  BOOST_REQUIRE(::connect(Caller.value(), reinterpret_cast<sockaddr *>(&Where),
+                          sizeof Where) == 0);
+  const std::string Text = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  char Answer[512];
+  BOOST_REQUIRE(::send(Caller.value(), Text.data(), Text.size(), 0) > 0);
+  BOOST_REQUIRE(::recv(Caller.value(), Answer, sizeof Answer, 0) > 0);
+  // The second request waits in the socket when the server ends.
+  Around.Worker.runAndWait([&] {
+    BOOST_REQUIRE(::send(Caller.value(), Text.data(), Text.size(), 0) > 0);
+    Around.Listener.reset();
+  });
+  BOOST_TEST(Asked.size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(RefusesABodyOverTheLimit) {
   Loopback Both;
   bool Reached = false;
