--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -94,12 +94,14 @@
   bool RunScheduled = false;
   bool Closing = false;
   std::optional<Kernel::TimerId> Timer;
+  bool Stopping = false;
   // Guards jobs that outlive the server.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 Server::Impl::~Impl() {
   *Alive = false;
+  Stopping = true;
   Watch.reset();
   if (Timer)
     Clock.cancel(*Timer);
@@ -185,6 +187,12 @@
         "109 BodyTooLarge: at most " + std::to_string(BodyLimit) + " bytes\n"};
     return sendReply(Current);
   }
+  if (Stopping) {
+    // The last run of the daemon may still read requests; a connection that
+    // is suspended now would make the library abort.
+    Current.Reply = Response{503, {}, ""};
+    return sendReply(Current);
+  }
   if (!Current.Delivered) {
     Current.Delivered = true;
     OnRequest(Current.Id, std::move(Current.Asked));
--- a/Source/Core/Node/AdminService.h
+++ b/Source/Core/Node/AdminService.h
@@ -63,6 +63,7 @@
   }
   void take(ServersChanged &Part) { Servers = Part.Servers; }
   void take(MembershipTraffic &Part) { Counts = std::move(Part.Counts); }
+  void take(ConfigTraffic &Part) { Traffic = std::move(Part); }
   void take(RecordJudged &Part) {
     Verdicts.push_back(Part.Judged);
     if (Verdicts.size() > MaxVerdicts)
@@ -110,6 +111,10 @@
                InForceSince.time_since_epoch())
                .count()
         << "\n";
+    Out << "[config-traffic]\n";
+    for (const auto &[Kind, Sum] : Traffic.ByKind)
+      Out << Kind << " = " << Sum.Messages << " messages " << Sum.Bytes
+          << " bytes\n";
     if (Servers)
       for (const auto &[Service, Entries] : Servers->ByService) {
         Out << "[service " << Service << "]\n";
@@ -170,6 +175,7 @@
   Config::Version InForce = 0;
   Common::WallTime InForceSince;
   Routing::ServerViewPtr Servers;
+  ConfigTraffic Traffic;
   std::deque<Config::Verdict> Verdicts;
   Membership::Traffic Counts;
 };
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -124,6 +125,14 @@
 struct RecordJudged {
   Config::Verdict Judged;
 };
+struct ByteCount {
+  std::uint64_t Messages = 0;
+  std::uint64_t Bytes = 0;
+};
+// What keeping the configuration cost since the start, by kind of message.
+struct ConfigTraffic {
+  std::map<std::string, ByteCount> ByKind;
+};
 struct MembershipTraffic {
   Membership::Traffic Counts;
 };
@@ -131,8 +140,9 @@
   Http::ExchangeId Exchange = 0;
   std::string Page;
 };
-using AdminMessage = std::variant<VersionInForce, ServersChanged, RecordJudged,
-                                  MembershipTraffic, MetricsReady>;
+using AdminMessage =
+    std::variant<VersionInForce, ServersChanged, RecordJudged,
+                 MembershipTraffic, MetricsReady, ConfigTraffic>;
 
 struct CallsEnded {
   std::vector<Report::CallSample> Samples;
--- a/Source/Core/Node/NodeBuilder.cpp
+++ b/Source/Core/Node/NodeBuilder.cpp
@@ -26,7 +26,8 @@
 template <Routing::ChoicePolicy Policy>
 using Front = FrontService<Policy, PeersAddress, MembersAddress, AdminAddress>;
 using PeersTask = PeersService<FrontAddress, BackendAddress>;
-using ConfigTask = ConfigService<FrontAddress, AdminAddress>;
+using ControlAddress = Kernel::Address<ControlMessage>;
+using ConfigTask = ConfigService<FrontAddress, AdminAddress, ControlAddress>;
 using MembersTask = MembersService<FrontAddress, ConfigAddress, AdminAddress>;
 using AdminTask = AdminService<BackendAddress, MembersAddress, MetricsAddress>;
 using MetricsTask = MetricsService<AdminAddress>;
@@ -151,8 +152,10 @@
       [Own](Kernel::Context Around) {
         return std::make_unique<ConfigTask>(
             Around, Own,
-            ConfigTask::Sinks{Around.Services.find<FrontMessage>(FrontName),
-                              Around.Services.find<AdminMessage>(AdminName)});
+            ConfigTask::Sinks{
+                Around.Services.find<FrontMessage>(FrontName),
+                Around.Services.find<AdminMessage>(AdminName),
+                Around.Services.find<ControlMessage>(ControlName)});
       });
   Builder.service<MembersTask>(
       MembersName, ControlTask, {FrontName, AdminName},
--- a/Source/Core/Wire/Codec.cpp
+++ b/Source/Core/Wire/Codec.cpp
@@ -1,8 +1,8 @@
 #include "Wire/Codec.h"
 
 #include "Common/Error.h"
+#include "Wire/CompactBytes.h"
 #include "Wire/Compression.h"
-#include "Wire/Pack.h"
 #include "Zinnia_types.h"
 
 namespace Wire {
@@ -126,12 +126,13 @@
 } // namespace
 
 std::string encodeFrame(const Frame &Content) {
-  return std::visit([](const auto &Part) { return pack(toWire(Part)); },
+  return std::visit([](const auto &Part) { return packCompact(toWire(Part)); },
                     Content);
 }
 
 Frame decodeFrame(std::string_view Bytes) {
-  auto Decoded = unpack<Generated::Frame>(Bytes, ResultCode::FrameMalformed);
+  auto Decoded =
+      unpackCompact<Generated::Frame>(Bytes, ResultCode::FrameMalformed);
   if (Decoded.__isset.Request)
     return fromWire(Decoded.Request);
   if (Decoded.__isset.Reply)
@@ -159,12 +160,12 @@
   Result.Note = Content.Note;
   Result.CompressedSet = compress(Content.SetText);
   Result.Hash = static_cast<std::int64_t>(hashOf(Content.SetText));
-  return pack(Result);
+  return packCompact(Result);
 }
 
 Config::Record decodeRecord(std::string_view Bytes) {
-  auto Decoded =
-      unpack<Generated::ConfigRecord>(Bytes, ResultCode::RecordMalformed);
+  auto Decoded = unpackCompact<Generated::ConfigRecord>(
+      Bytes, ResultCode::RecordMalformed);
   Config::Record Result;
   Result.Id = std::move(Decoded.Id);
   Result.Base = Decoded.Base;
--- a/Source/Core/Wire/Pack.h
+++ b/Source/Core/Wire/CompactBytes.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -10,22 +9,22 @@
 
 #include "Common/Error.h"
 
-// For the codecs in this folder alone.
+// Generated structures as bytes. For the codecs alone: it brings the library's
+// headers with it.
 namespace Wire {
 
 using CompactProtocol = apache::thrift::protocol::TCompactProtocolT<
     apache::thrift::transport::TMemoryBuffer>;
 
-template <class Struct> std::string pack(const Struct &Content) {
+template <class Struct> std::string packCompact(const Struct &Content) {
   auto Buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
   CompactProtocol Out(Buffer);
   Content.write(&Out);
   return Buffer->getBufferAsString();
 }
 
-// Throws OnFailure.
 template <class Struct>
-Struct unpack(std::string_view Bytes, Common::ResultCode OnFailure) {
+Struct unpackCompact(std::string_view Bytes, Common::ResultCode OnFailure) {
   using apache::thrift::transport::TMemoryBuffer;
   // The library wants a mutable pointer but only reads in OBSERVE mode.
   auto *Data =
--- a/Source/Core/Wire/MembersCodec.cpp
+++ b/Source/Core/Wire/MembersCodec.cpp
@@ -1,7 +1,7 @@
 #include "Wire/MembersCodec.h"
 
 #include "Members_types.h"
-#include "Wire/Pack.h"
+#include "Wire/CompactBytes.h"
 
 namespace Wire {
 
@@ -126,12 +126,12 @@
   std::visit(BodyWriter{Result.Body}, Content.Body);
   for (const Member &Each : Content.Updates)
     Result.Updates.push_back(toWire(Each));
-  return pack(Result);
+  return packCompact(Result);
 }
 
 Datagram decodeDatagram(std::string_view Bytes) {
-  const auto Decoded =
-      unpack<Generated::MemberDatagram>(Bytes, ResultCode::FrameMalformed);
+  const auto Decoded = unpackCompact<Generated::MemberDatagram>(
+      Bytes, ResultCode::FrameMalformed);
   Datagram Result;
   Result.From = Decoded.From;
   Result.DataCentre = Decoded.DataCentre;
