Hold a descriptor of the watch's own for libcurl's sockets

The core showed a handler that had been freed. libcurl 7.88 closes a socket that still connects before it tells CURL_POLL_REMOVE; taking the closed descriptor out of the reactor then fails with EBADF (seen in the nodes' logs with a line added for the trial), the entry stays, and the next socket of that number is dispatched to the freed handler.

Ruled out: making the reactor drop entries of closed descriptors, for which ACE has no call. Now a watch holds a duplicate of the descriptor, which stays valid until the watch ends.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -7,13 +7,23 @@
 #include <vector>
 
 #include <curl/curl.h>
+#include <fcntl.h>
 
 #include "Common/Error.h"
+#include "Common/UniqueFd.h"
 
 namespace Http {
 
 namespace {
 
+// The watch of one of the library's sockets. It holds a descriptor of its own,
+// since the library closes sockets that still connect before it says so, and a
+// closed descriptor can't be taken out of the reactor.
+struct WatchedSocket {
+  Common::UniqueFd Own;
+  std::unique_ptr<Kernel::SocketWatch> Watch;
+};
+
 struct EasyDeleter {
   void operator()(CURL *Handle) const { curl_easy_cleanup(Handle); }
 };
@@ -90,8 +100,7 @@
   Kernel::Task &Home;
   Kernel::Timers Clock{Home};
   CURLM *Multi = nullptr;
-  std::unordered_map<curl_socket_t, std::unique_ptr<Kernel::SocketWatch>>
-      Watches;
+  std::unordered_map<curl_socket_t, WatchedSocket> Watches;
   std::unordered_map<TransferId, std::unique_ptr<Transfer>> Running;
   std::vector<EasyHandle> Spare;
   TransferId NextId = 1;
@@ -135,18 +144,23 @@
                                      .Write = (What & CURL_POLL_OUT) != 0};
   const auto Found = Self.Watches.find(Socket);
   if (Found != Self.Watches.end()) {
-    Found->second->setInterest(Interest);
+    Found->second.Watch->setInterest(Interest);
     return 0;
   }
-  Self.Watches[Socket] = Self.Home.watch(
-      Socket, Interest, [&Self, Socket](Kernel::IoReadiness Ready) {
-        int Events = 0;
-        if (Ready.Read)
-          Events |= CURL_CSELECT_IN;
-        if (Ready.Write)
-          Events |= CURL_CSELECT_OUT;
-        Self.act(Socket, Events);
-      });
+  WatchedSocket Added;
+  Added.Own = Common::UniqueFd(::fcntl(Socket, F_DUPFD_CLOEXEC, 0));
+  if (!Added.Own.isOpen())
+    return -1;
+  Added.Watch = Self.Home.watch(Added.Own.value(), Interest,
+                                [&Self, Socket](Kernel::IoReadiness Ready) {
+                                  int Events = 0;
+                                  if (Ready.Read)
+                                    Events |= CURL_CSELECT_IN;
+                                  if (Ready.Write)
+                                    Events |= CURL_CSELECT_OUT;
+                                  Self.act(Socket, Events);
+                                });
+  Self.Watches.emplace(Socket, std::move(Added));
   return 0;
 }
 
--- a/Source/UnitTests/Http/HttpTests.cpp
+++ b/Source/UnitTests/Http/HttpTests.cpp
@@ -118,6 +118,32 @@
   BOOST_TEST(Got.MayHaveRun);
 }
 
+// A cancelled transfer may still be connecting, and the next socket may get the
+// number of its socket.
+BOOST_AUTO_TEST_CASE(CancelsWhileConnecting) {
+  Loopback Both;
+  Both.OnRequest = [&](Http::ExchangeId Id, const auto &) {
+    Both.Listener->answer(Id, {200, {}, "x"});
+  };
+  for (int Round = 0; Round < 20; ++Round) {
+    std::promise<void> Cancelled;
+    Both.Worker.runAndWait([&] {
+      auto Asked = request("GET", "/");
+      Asked.Url = "http://127.0.0.1:" + std::to_string(Both.Listener->port()) +
+                  Asked.Url;
+      Asked.NeverResend = true;
+      const auto Id = Both.Transport->send(Asked, [](const auto &) {});
+      // The library starts to connect in a job of its own, posted before.
+      Both.Worker.post([&, Id] {
+        Both.Transport->cancel(Id);
+        Cancelled.set_value();
+      });
+    });
+    Cancelled.get_future().wait();
+    BOOST_TEST(Both.send(request("GET", "/")).get().Reply.Body == "x");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(TellsThatNothingWasSent) {
   Loopback Both;
   auto Asked = request("GET", "/");
