--- a/Source/Programs/zinnia-load/LoadReport.cpp
+++ b/Source/Programs/zinnia-load/LoadReport.cpp
@@ -42,7 +42,8 @@
 std::string reportText(const LoadReport &Report) {
   std::ostringstream Out;
   Out << "sent " << Report.Sent << "\nserved " << Report.Served << "\nwrong "
-      << Report.Wrong << "\nunanswered " << Report.Unanswered << "\n";
+      << Report.Wrong << "\nunanswered " << Report.Unanswered
+      << "\nextra-attempts " << Report.ExtraAttempts << "\n";
   for (const auto &[Code, Count] : Report.ByResult)
     Out << "result " << Code << " " << Count << "\n";
   for (const auto &[Server, Count] : Report.ByServer)
--- a/Source/Programs/zinnia-load/LoadReport.h
+++ b/Source/Programs/zinnia-load/LoadReport.h
@@ -46,6 +46,8 @@
   // Answers by result code of the node, 0 for served.
   std::map<int, int> ByResult;
   std::map<std::string, int> ByServer;
+  // Retries and hedges, as the nodes tell them.
+  int ExtraAttempts = 0;
   Common::Micros Elapsed{0};
   Latencies Times;
   std::vector<ClassReport> Classes;
--- a/Source/Programs/zinnia-load/LoadRun.cpp
+++ b/Source/Programs/zinnia-load/LoadRun.cpp
@@ -85,6 +85,10 @@
                          ? 0
                          : std::atoi(Field->second.c_str());
     ++Report.ByResult[Code];
+    const auto Attempts = Result.Reply.Fields.find("x-zinnia-attempts");
+    if (Attempts != Result.Reply.Fields.end())
+      Report.ExtraAttempts +=
+          std::max(std::atoi(Attempts->second.c_str()) - 1, 0);
     const std::string Wanted = "id=" + Call.Id + " server=";
     if (Code != 0 && Common::isNotRun(static_cast<Common::ResultCode>(Code)))
       ++Report.windowAt(Now - StartedAt).Refused;
--- a/Tools/cluster.sh
+++ b/Tools/cluster.sh
@@ -69,6 +69,7 @@
 
 # MembersSettings may hold more lines for [members].
 # LogSettings may hold further lines for the section [log].
+# The variable Choice names the nodes' choice policy.
 start_node() { # NAME DATA-CENTRE CALL PEER MEMBER ADMIN SEEDS LOG-PORT CONTROL
   cat >"$Run/$1.ini" <<S
 [node]
@@ -78,6 +79,7 @@
 [calls]
 admission = ${Admission:-lanes}
 port = $3
+choice = ${Choice:-ours}
 [peers]
 port = $4
 [members]
