Tell other data centres who went while the link was cut

Cause: a death or leaving was told to another data centre three times, all lost when the link was cut, and its servers stayed in the tables there for good. The datagram that goes through the members in turn now includes those that are gone, for the two hours they are remembered; and each fourth one goes to any member there, since the representatives that are known may have died meanwhile.

Ruled out: dropping a data centre that is silent, which would leave nobody to call when the link comes back; and removing what a full round does not list, since a removal has no incarnation and would flap with the gossip.

Without the inclusion of those gone the test fails.

--- a/Source/Core/Membership/SummaryExchange.cpp
+++ b/Source/Core/Membership/SummaryExchange.cpp
@@ -11,6 +11,7 @@
 constexpr Common::Millis ChangeInterval{200};
 constexpr Common::Millis RefreshInterval{5000};
 constexpr int TransmitsPerChange = 3;
+constexpr std::uint64_t AnyMemberShare = 4;
 
 } // namespace
 
@@ -49,15 +50,31 @@
       return isLive(Update) && !Update.Endpoints.empty() &&
              !Bounded.contains(Update.Node);
     });
-    const auto Theirs = representatives(Members, Name);
-    if (!Speaks || Updates.empty() || Theirs.empty())
+    const Member *To = listener(Members, Name);
+    if (!Speaks || Updates.empty() || !To)
       continue;
-    const Member &To = *Theirs[Random() % Theirs.size()];
-    Result.push_back({{To.Address, To.MemberPort}, std::move(Updates)});
+    Result.push_back({{To->Address, To->MemberPort}, std::move(Updates)});
   }
   return Result;
 }
 
+// Mostly a representative. After a cut those known may be gone, so that now and
+// then any member is taken; it tells its own data centre all the same.
+const Member *
+SummaryExchange::listener(const std::vector<const Member *> &Members,
+                          const std::string &DataCentre) {
+  std::vector<const Member *> Candidates = representatives(Members, DataCentre);
+  if (++Turns % AnyMemberShare == 0) {
+    Candidates.clear();
+    for (const Member *Each : Members)
+      if (isLive(*Each) && Each->DataCentre == DataCentre)
+        Candidates.push_back(Each);
+  }
+  if (Candidates.empty())
+    return nullptr;
+  return Candidates[Random() % Candidates.size()];
+}
+
 std::vector<Member> SummaryExchange::refresh(Far &State,
                                              const MemberTable &Table,
                                              std::size_t Bytes,
@@ -65,7 +82,11 @@
   State.RefreshAt = Now + RefreshInterval;
   std::vector<const Member *> Members = Table.others();
   Members.push_back(&Table.self());
-  const auto Names = summarised(Members, Table.self().DataCentre);
+  auto Names = summarised(Members, Table.self().DataCentre);
+  // Who went while the link to the other data centre was cut is told after it.
+  for (const Member *Each : Members)
+    if (!isLive(*Each) && Each->DataCentre == Table.self().DataCentre)
+      Names.insert(Each->Node);
   std::vector<Member> Result;
   std::size_t Used = 0;
   auto Next = Names.upper_bound(State.Cursor);
@@ -79,7 +100,8 @@
       break;
     Result.push_back(*Found);
     // Others need not know who is suspected here.
-    Result.back().State = Health::Alive;
+    if (Found->State == Health::Suspect)
+      Result.back().State = Health::Alive;
     State.Cursor = *Next;
   }
   return Result;
--- a/Source/Core/Membership/SummaryExchange.h
+++ b/Source/Core/Membership/SummaryExchange.h
@@ -37,10 +37,13 @@
     Common::SteadyTime RefreshAt;
   };
 
+  const Member *listener(const std::vector<const Member *> &Members,
+                         const std::string &DataCentre);
   std::vector<Member> refresh(Far &State, const MemberTable &Table,
                               std::size_t Bytes, Common::SteadyTime Now);
 
   std::mt19937_64 Random;
+  std::uint64_t Turns = 0;
   // Changes are kept for data centres that are known, also by nodes that are
   // no representative yet: the one that was may just have died.
   std::map<std::string, Far> ByDataCentre;
--- a/Source/UnitTests/Membership/Fleet.h
+++ b/Source/UnitTests/Membership/Fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <queue>
@@ -21,6 +22,9 @@
   std::int64_t Datagrams = 0;
   std::int64_t Bytes = 0;
   std::size_t Largest = 0;
+  // Told of each datagram: from, to, bytes.
+  std::function<void(const std::string &, const std::string &, std::size_t)>
+      OnSend;
   // Nodes that do not run; their datagrams wait in their socket.
   std::set<std::string> Frozen;
   std::set<std::string> Crashed;
@@ -149,6 +153,8 @@
     std::size_t Size = Membership::encodedLimitOfHeader(Sent.Content);
     for (const Membership::Member &Each : Sent.Content.Updates)
       Size += Membership::encodedLimit(Each);
+    if (OnSend)
+      OnSend(From, Sent.To.Address, Size);
     ++Datagrams;
     Bytes += static_cast<std::int64_t>(Size);
     Largest = std::max(Largest, Size);
--- a/Source/UnitTests/Membership/ProberTests.cpp
+++ b/Source/UnitTests/Membership/ProberTests.cpp
@@ -197,6 +197,25 @@
   BOOST_TEST_MESSAGE("other data centre: " << Took.count() << " ms, endpoints "
                                            << Heard(3));
   BOOST_TEST(Nodes.allHold(Leaver, isGone));
+  Nodes.Crashed.insert(Leaver);
+
+  // Both representatives of b, and one more, die while the link is cut.
+  Nodes.Cut = [](const auto &A, const auto &B) { return A[0] != B[0]; };
+  std::vector<std::string> Victims = {Fleet::name(9, "b")};
+  for (const Member *Each :
+       representatives(Nodes[Fleet::name(1, "b")].table().others(), "b"))
+    Victims.push_back(Each->Node);
+  Nodes.Crashed.insert(Victims.begin(), Victims.end());
+  Nodes.run(Millis(600'000));
+  Nodes.Cut = nullptr;
+  const auto AllGone = [&] {
+    return std::all_of(Victims.begin(), Victims.end(), [&](const auto &Each) {
+      return Nodes.allHold(Each, isGone);
+    });
+  };
+  const auto Healed = Nodes.run(Millis(60'000), AllGone);
+  BOOST_TEST_MESSAGE("after a cut of 600 s: " << Healed.count() << " ms");
+  BOOST_TEST(AllGone());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
