--- a/Source/Programs/zinnia-load/LoadCommandLine.cpp
+++ b/Source/Programs/zinnia-load/LoadCommandLine.cpp
@@ -1,5 +1,7 @@
 #include "Programs/zinnia-load/LoadCommandLine.h"
 
+#include <algorithm>
+
 #include "Common/CommandLine.h"
 #include "Common/Error.h"
 
@@ -29,6 +31,7 @@
   std::string Limit = "5s";
   std::string WarmUp = "0";
   std::string Seed = "1";
+  std::string Tasks = "1";
   Common::CommandLine("zinnia-load", "")
       .list("target", "IP:PORT", "Node to call; may be repeated",
             Options.Targets)
@@ -46,6 +49,7 @@
       .list("swing", "N@START+LENGTH",
             "Multiplies the rate for a while; may be repeated", Swings)
       .option("seed", "N", "Seed of the order of classes", Seed)
+      .option("tasks", "N", "Threads that share the load", Tasks)
       .option("closed", "N", "Callers that call without a pause instead",
               Closed)
       .option("length", "TIME", "How long calls are sent", Length)
@@ -66,6 +70,7 @@
     Options.Classes.push_back(Only);
   for (const std::string &Each : Swings)
     Options.Swings.push_back(parseSwing(Each));
+  Job.Tasks = std::max(1, std::stoi(Tasks));
   Options.Seed = std::stoull(Seed);
   Options.CallsPerSecond = std::stod(Rate);
   Options.ClosedCallers = std::stoi(Closed);
--- a/Source/Programs/zinnia-load/LoadCommandLine.h
+++ b/Source/Programs/zinnia-load/LoadCommandLine.h
@@ -13,6 +13,8 @@
   std::vector<std::string> Direct;
   std::vector<std::string> Ledgers;
   std::string CsvFile;
+  // Tasks that share the load.
+  int Tasks = 1;
 };
 
 // Throws UsageError.
--- a/Source/Programs/zinnia-load/LoadReport.cpp
+++ b/Source/Programs/zinnia-load/LoadReport.cpp
@@ -21,6 +21,11 @@
   Sorted = false;
 }
 
+void Latencies::add(const Latencies &Others) {
+  Values.insert(Values.end(), Others.Values.begin(), Others.Values.end());
+  Sorted = false;
+}
+
 Common::Micros Latencies::quantile(double Share) const {
   if (Values.empty())
     return Common::Micros(0);
@@ -39,6 +44,33 @@
   return Windows[Index];
 }
 
+void LoadReport::add(const LoadReport &Other) {
+  Sent += Other.Sent;
+  Served += Other.Served;
+  Wrong += Other.Wrong;
+  Unanswered += Other.Unanswered;
+  Elapsed = std::max(Elapsed, Other.Elapsed);
+  Times.add(Other.Times);
+  for (const auto &[Code, Count] : Other.ByResult)
+    ByResult[Code] += Count;
+  for (const auto &[Server, Count] : Other.ByServer)
+    ByServer[Server] += Count;
+  Classes.resize(Other.Classes.size());
+  for (std::size_t Index = 0; Index < Classes.size(); ++Index) {
+    Classes[Index].Name = Other.Classes[Index].Name;
+    Classes[Index].Sent += Other.Classes[Index].Sent;
+    Classes[Index].Served += Other.Classes[Index].Served;
+    Classes[Index].Times.add(Other.Classes[Index].Times);
+  }
+  Windows.resize(std::max(Windows.size(), Other.Windows.size()));
+  for (std::size_t Index = 0; Index < Other.Windows.size(); ++Index) {
+    Windows[Index].Due += Other.Windows[Index].Due;
+    Windows[Index].Served += Other.Windows[Index].Served;
+    Windows[Index].Refused += Other.Windows[Index].Refused;
+    Windows[Index].Failed += Other.Windows[Index].Failed;
+  }
+}
+
 std::string reportText(const LoadReport &Report) {
   std::ostringstream Out;
   Out << "sent " << Report.Sent << "\nserved " << Report.Served << "\nwrong "
--- a/Source/Programs/zinnia-load/LoadReport.h
+++ b/Source/Programs/zinnia-load/LoadReport.h
@@ -12,6 +12,7 @@
 class Latencies {
 public:
   void add(Common::Micros Value);
+  void add(const Latencies &Others);
   Common::Micros quantile(double Share) const;
 
 private:
@@ -52,6 +53,8 @@
   std::vector<Window> Windows;
 
   Window &windowAt(Common::Duration SinceStart);
+  // Adds a report of the same classes and time.
+  void add(const LoadReport &Other);
 };
 
 // Prints a report as lines of "key value".
--- a/Tools/bench/swing.sh
+++ b/Tools/bench/swing.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Measures goodput while demand is eight times as high for three seconds, with
 # the admission lanes and with the plain queue: swing.sh [RUNS]. One near node
-# and two far nodes, with 6 and 9 slots; a call works 5 ms.
+# and two far nodes, with 6 and 9 slots; a call works 5 ms. Calls of
+# the kind short have 500 ms, those of the kind tight 100 ms.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 Bin=$PWD/build/release/bin
@@ -36,15 +37,19 @@
 for Order in lanes fifo; do
   for Number in $(seq "$Runs"); do
     start_mesh "$Order" 6 9
-    Capacity=$("$Bin/zinnia-load" --target "$Near" --path /short/a --closed 45 \
+    Capacity=$("$Bin/zinnia-load" --target "$Near" --path /short/a --tasks 3 --closed 45 \
       --length 3s --id-prefix c | sed -n 's/^rate //p')
-    "$Bin/zinnia-load" --target "$Near" --path /short/a --rate "$BaseRate" \
-      --swing 8@3s+3s --length 10s --limit 2s --id-prefix s \
-      --seed "$Number" --csv "$Run/swing.csv" >"$Run/swing.txt"
-    echo "$Order run $Number: capacity $Capacity/s, due $((BaseRate * 8))/s:" \
-      "$(judge "$Run/swing.csv" "$Capacity")"
-    grep -E '^(result|unanswered|p50|p99-)' "$Run/swing.txt" | paste -sd' '
-    [ -z "${KEEP_CSV:-}" ] || cp "$Run/swing.csv" "$KEEP_CSV-$Order-$Number.csv"
+    for Kind in short tight; do
+      "$Bin/zinnia-load" --target "$Near" --path "/$Kind/a" --tasks 3 \
+        --rate "$BaseRate" --swing 8@3s+3s --length 10s --limit 2s \
+        --id-prefix "$Kind" --seed "$Number" --csv "$Run/$Kind.csv" \
+        >"$Run/$Kind.txt"
+      echo "$Order $Kind run $Number: capacity $Capacity/s," \
+        "due $((BaseRate * 8))/s: $(judge "$Run/$Kind.csv" "$Capacity")"
+      grep -E '^(result|unanswered|p50|p99-)' "$Run/$Kind.txt" | paste -sd' '
+      [ -z "${KEEP_CSV:-}" ] ||
+        cp "$Run/$Kind.csv" "$KEEP_CSV-$Order-$Kind-$Number.csv"
+    done
     end_all
   done
 done
