Let the stand-in backend hang, start cold and keep deadlines

Faults hang, cold-calls and cold-factor let tests show what the far node does with a server that never answers or whose first calls are slow. A request that waited in the stand-in past its deadline is shed, as the platform's servers accept deadlines.

No test uses the new faults yet.

--- a/Source/StandIns/Backend/BackendServer.cpp
+++ b/Source/StandIns/Backend/BackendServer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 #include <spdlog/spdlog.h>
 
@@ -25,6 +26,14 @@
   return "";
 }
 
+std::optional<Common::SteadyTime> deadlineOf(const Http::Request &Asked) {
+  const auto Field = Asked.Fields.find("x-deadline-ms");
+  if (Field == Asked.Fields.end())
+    return std::nullopt;
+  return std::chrono::steady_clock::now() +
+         Common::Millis(std::atoll(Field->second.c_str()));
+}
+
 } // namespace
 
 BackendServer::BackendServer(Kernel::Context Around, BackendOptions Options)
@@ -78,10 +87,10 @@
   } else if (Asked.Path == "/standin/ledger") {
     Listener->answer(Id, {200, {}, ledgerText()});
   } else if (Faults.Shed) {
-    Listener->answer(Id, {503, {{"x-not-run", "1"}}, "shed\n"});
+    shed(Id);
   } else if (Busy >= Options.Slots) {
     // A server without a free slot lets the request wait, as real ones do.
-    Waiting.push_back({Id, Asked});
+    Waiting.push_back({Id, Asked, deadlineOf(Asked)});
   } else {
     begin(Id, Asked);
   }
@@ -92,6 +101,10 @@
   const std::string CallerId = queryText(Asked.Target, "id");
   ++Ledger[CallerId];
   const Common::Micros Work = workTime(Asked.Target);
+  if (Faults.Hang) {
+    ++Hung;
+    return;
+  }
   if (Work.count() == 0)
     finish(Id, CallerId);
   else
@@ -105,11 +118,29 @@
   Listener->answer(Id, {200,
                         {{"content-type", "text/plain"}},
                         "id=" + CallerId + " server=" + Options.Name + "\n"});
-  if (Waiting.empty())
-    return;
-  const WaitingRequest Next = std::move(Waiting.front());
-  Waiting.pop_front();
-  begin(Next.Exchange, Next.Asked);
+  beginNext();
+}
+
+void BackendServer::beginNext() {
+  while (!Waiting.empty()) {
+    const WaitingRequest Next = std::move(Waiting.front());
+    Waiting.pop_front();
+    if (!Next.Deadline || *Next.Deadline > std::chrono::steady_clock::now()) {
+      begin(Next.Exchange, Next.Asked);
+      return;
+    }
+    shed(Next.Exchange);
+  }
+}
+
+void BackendServer::dropHung() {
+  Busy -= std::exchange(Hung, 0);
+  while (!Waiting.empty() && Busy < Options.Slots)
+    beginNext();
+}
+
+void BackendServer::shed(Http::ExchangeId Id) {
+  Listener->answer(Id, {503, {{"x-not-run", "1"}}, "shed\n"});
 }
 
 Common::Micros BackendServer::workTime(const std::string &Target) {
@@ -119,6 +150,10 @@
     Mean = Common::parseDuration(Wanted + "us").value_or(Mean);
   if (Mean.count() == 0)
     return Mean;
+  if (Faults.ColdCalls > 0) {
+    --Faults.ColdCalls;
+    Mean *= Faults.ColdFactor;
+  }
   std::uniform_real_distribution<double> Spread(0.5, 1.5);
   return Common::Micros(static_cast<std::int64_t>(
       static_cast<double>(Mean.count()) * Spread(Random) * Faults.SlowFactor));
@@ -133,12 +168,20 @@
         Wanted.SlowFactor = std::max(1, std::atoi(Entry.Value.c_str()));
       else if (Entry.Key == "shed")
         Wanted.Shed = Entry.Value == "yes";
+      else if (Entry.Key == "hang")
+        Wanted.Hang = Entry.Value == "yes";
+      else if (Entry.Key == "cold-calls")
+        Wanted.ColdCalls = std::max(0, std::atoi(Entry.Value.c_str()));
+      else if (Entry.Key == "cold-factor")
+        Wanted.ColdFactor = std::max(1, std::atoi(Entry.Value.c_str()));
       else if (Entry.Key == "silent")
         Wanted.Silent = Entry.Value == "yes";
       else
         return {400, {}, "unknown fault " + Entry.Key + "\n"};
     }
   Faults = Wanted;
+  if (!Faults.Hang)
+    dropHung();
   return {200, {}, "set\n"};
 }
 
--- a/Source/StandIns/Backend/BackendServer.h
+++ b/Source/StandIns/Backend/BackendServer.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <variant>
@@ -30,6 +31,12 @@
   // Work takes this many times as long.
   int SlowFactor = 1;
   bool Shed = false;
+  // Begins calls and never answers them. Their slots come back when the fault
+  // is switched off.
+  bool Hang = false;
+  // The next calls that are slow as after a cold start, and how slow.
+  int ColdCalls = 0;
+  int ColdFactor = 1;
   // Stops announcing itself, as a server does that leaves or hangs.
   bool Silent = false;
 };
@@ -42,8 +49,10 @@
 // its ledger tells how often each request ran:
 //   any request with ?id=ID      works, then answers "id=ID server=NAME"
 //   GET  /standin/ledger         lines of "ID runs"
-//   POST /standin/faults         INI: [faults] slow-factor, shed, silent
-// A request may ask for its own work time by ?work-us=N.
+//   POST /standin/faults         INI: [faults] slow-factor, shed, hang,
+//                                cold-calls, cold-factor, silent
+// A request may ask for its own work time by ?work-us=N. One that waits here
+// past its x-deadline-ms is shed.
 class BackendServer {
 public:
   using Message = std::variant<SetBackendFaults>;
@@ -58,6 +67,9 @@
   void takeRequest(Http::ExchangeId Id, const Http::Request &Asked);
   void begin(Http::ExchangeId Id, const Http::Request &Asked);
   void finish(Http::ExchangeId Id, const std::string &CallerId);
+  void beginNext();
+  void dropHung();
+  void shed(Http::ExchangeId Id);
   void announce();
   Common::Micros workTime(const std::string &Target);
   Http::Response setFaults(const std::string &Body);
@@ -66,6 +78,7 @@
   struct WaitingRequest {
     Http::ExchangeId Exchange = 0;
     Http::Request Asked;
+    std::optional<Common::SteadyTime> Deadline;
   };
 
   Kernel::Task &Home;
@@ -78,6 +91,7 @@
   std::map<std::string, int> Ledger;
   std::deque<WaitingRequest> Waiting;
   int Busy = 0;
+  int Hung = 0;
 };
 
 } // namespace StandIns
