--- a/Source/Core/Admission/PauseWatch.h
+++ b/Source/Core/Admission/PauseWatch.h
@@ -15,6 +15,9 @@
   // Later ticks than this are ordinary delays of the scheduler.
   static constexpr Common::Millis Tolerance{100};
 
+  // For so long after a pause, what is read may have come during it.
+  static constexpr Common::Millis ReadDelay{20};
+
   // To be called every Interval.
   void tick(Common::SteadyTime Now) {
     LastPause = pauseSinceTick(Now);
@@ -23,7 +26,9 @@
 
   // The pause that a request read at this time may have waited through.
   Common::Micros pause(Common::SteadyTime Now) const {
-    return std::max(LastPause, pauseSinceTick(Now));
+    const bool JustWoken = LastTick && Now - *LastTick <= ReadDelay;
+    return std::max(JustWoken ? LastPause : Common::Micros(0),
+                    pauseSinceTick(Now));
   }
 
 private:
--- a/Source/UnitTests/Admission/LaneOrderTests.cpp
+++ b/Source/UnitTests/Admission/LaneOrderTests.cpp
@@ -166,6 +166,7 @@
   BOOST_TEST((Watch.pause(Woken) == Millis(3000)));
   Watch.tick(Woken);
   BOOST_TEST((Watch.pause(Woken + Millis(10)) == Millis(3000)));
+  BOOST_TEST(Watch.pause(Woken + Millis(30)).count() == 0);
   Watch.tick(Woken + Millis(50));
   BOOST_TEST(Watch.pause(Woken + Millis(60)).count() == 0);
 }
