Judge the latency of each request kind apart

Cause: latency was kept for each lane. Two kinds of one lane may differ a lot; a server that worked on a call of the slow kind looked slow to the fast one at once, since attempts that still wait count. The record is now kept for each kind, and forgotten with it. Setting aside stays a matter of the server. Scaling latencies by the kind's median was weighed; it needs the median before the first calls and says no more.

Also, a server was set aside for slowness before anything was known of its peers. Now more than half of them must have answered.

--- a/Source/Core/Routing/AdaptiveChoice.cpp
+++ b/Source/Core/Routing/AdaptiveChoice.cpp
@@ -29,22 +29,24 @@
   return std::exp2(-Seconds(Age) / Seconds(HalfLife));
 }
 
-// Latency by answers and by how long attempts in flight have waited already,
-// which tells of a slow server before its first slow answer.
+// Latency of the call's kind by answers and by how long attempts in flight have
+// waited already, which tells of a slow server before its first slow answer.
 Common::Micros latencyOf(const ServerRecord *Record, const ChoiceInput &Input,
                          Common::Micros PeerLatency) {
   if (!Record)
     return PeerLatency;
-  const LaneRecord &Lane = Record->lane(Input.LongLane);
+  const KindLatency *Shown = Record->kind(Input.Kind);
+  if (!Shown)
+    return PeerLatency;
   Common::Micros Latency = PeerLatency;
-  if (Lane.Answers > 0)
+  if (Shown->Answers > 0)
     Latency += std::chrono::duration_cast<Common::Micros>(
-        (Lane.SmoothedLatency - PeerLatency) *
-        ageWeight(Input.Now - Lane.MeasuredAt, LatencyHalfLife));
-  if (Lane.InFlight.empty())
+        (Shown->SmoothedLatency - PeerLatency) *
+        ageWeight(Input.Now - Shown->MeasuredAt, LatencyHalfLife));
+  if (Shown->InFlight.empty())
     return Latency;
   const auto Waited = std::chrono::duration_cast<Common::Micros>(
-      Input.Now - *Lane.InFlight.begin());
+      Input.Now - *Shown->InFlight.begin());
   return std::max(Latency, Waited);
 }
 
@@ -81,10 +83,12 @@
   return Seconds(latencyOf(Record, Input, PeerLatency)) * (1 + Rounds);
 }
 
-bool isStraggler(const ServerRecord &Record, const ChoiceInput &Input,
-                 Common::Micros PeerLatency) {
-  if (Record.ConsecutiveFailures >= FailureLimit)
-    return true;
+bool isFailing(const ServerRecord &Record) {
+  return Record.ConsecutiveFailures >= FailureLimit;
+}
+
+bool isSlow(const ServerRecord &Record, const ChoiceInput &Input,
+            Common::Micros PeerLatency) {
   const Common::Micros Latency = latencyOf(&Record, Input, PeerLatency);
   return Latency > StragglerFactor * PeerLatency &&
          Latency > PeerLatency + LeastStragglerExcess;
@@ -92,8 +96,9 @@
 
 // Whether the first call after the time aside has ended well.
 bool hasPassedProbation(const ServerRecord &Record, const ChoiceInput &Input) {
-  return Record.ConsecutiveFailures == 0 &&
-         Record.lane(Input.LongLane).MeasuredAt > Record.AsideUntil;
+  const KindLatency *Shown = Record.kind(Input.Kind);
+  return Record.ConsecutiveFailures == 0 && Shown &&
+         Shown->MeasuredAt > Record.AsideUntil;
 }
 
 } // namespace
@@ -108,12 +113,13 @@
       continue;
     Result.Members.push_back(Index);
     const ServerRecord *Record = Input.Records.find(Each.Server);
-    if (Record && Record->lane(Input.LongLane).Answers > 0)
-      Latencies.push_back(Record->lane(Input.LongLane).SmoothedLatency);
+    const KindLatency *Shown = Record ? Record->kind(Input.Kind) : nullptr;
+    if (Shown && Shown->Answers > 0)
+      Latencies.push_back(Shown->SmoothedLatency);
   }
   if (Latencies.empty())
     return Result;
-  Result.IsMeasured = true;
+  Result.Measured = Latencies.size();
   // The lower middle: of two servers the slow one must not set the measure.
   const auto Middle = Latencies.begin() + (Latencies.size() - 1) / 2;
   std::nth_element(Latencies.begin(), Middle, Latencies.end());
@@ -129,12 +135,15 @@
     if (Record && Record->OnProbation)
       ++Aside;
   }
+  // Few answers say nothing about what is usual.
+  const bool IsKnown = 2 * From.Measured > From.Members.size();
   const std::size_t Cap = From.Members.size() / ServersForEachAside;
   for (const std::size_t Index : From.Members) {
     ServerRecord *Record = Input.Records.find(Input.Servers[Index].Server);
     if (!Record || Record->AsideUntil > Input.Now)
       continue;
-    const bool Slow = isStraggler(*Record, Input, From.MedianLatency);
+    const bool Slow = isFailing(*Record) ||
+                      (IsKnown && isSlow(*Record, Input, From.MedianLatency));
     if (Record->OnProbation) {
       const bool Failed = Record->LastFailure > Record->AsideUntil;
       if (!Slow && hasPassedProbation(*Record, Input)) {
@@ -209,7 +218,7 @@
   if (Own && load(Input, *Own) < 1)
     return Own;
   Group There = makeGroup(Input, false);
-  if (!There.IsMeasured)
+  if (There.Measured == 0)
     There.MedianLatency = Here.MedianLatency + ExtraWay;
   setAside(Input, There);
   const std::optional<std::size_t> Other = betterOfTwo(Input, There);
--- a/Source/Core/Routing/AdaptiveChoice.h
+++ b/Source/Core/Routing/AdaptiveChoice.h
@@ -22,7 +22,8 @@
   // The servers of one side: the own data centre, or all others.
   struct Group {
     std::vector<std::size_t> Members;
-    bool IsMeasured = false;
+    // How many of them have answered a call of the kind.
+    std::size_t Measured = 0;
     // Of the servers that have answered; stands in for those that have not.
     Common::Micros MedianLatency{1'000};
   };
--- a/Source/Core/Routing/ChoicePolicy.h
+++ b/Source/Core/Routing/ChoicePolicy.h
@@ -22,7 +22,8 @@
   // Servers that failed an earlier attempt of the same call.
   const std::set<std::string> &Excluded;
   Common::SteadyTime Now;
-  bool LongLane = false;
+  // The kind of the call that a server is chosen for.
+  const std::string &Kind;
 };
 
 // Chooses the index of a server, or none.
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -105,7 +105,7 @@
     CallId Call = 0;
     ServerEntry Server;
     Common::SteadyTime SentAt;
-    bool LongLane = false;
+    std::string Kind;
     bool IsFirst = true;
   };
   // What is shared by the calls of one request kind.
@@ -176,6 +176,7 @@
   std::erase_if(Kinds, [this](const auto &Each) {
     return !Set->kinds().contains(Each.first);
   });
+  Records.useKinds(Set->kinds());
 }
 
 template <ChoicePolicy Policy>
@@ -263,7 +264,7 @@
     const std::vector<ServerEntry> &Candidates = Found->second;
     const std::optional<std::size_t> Chosen =
         Choice.choose({Candidates, Records, OwnDataCentre, Call.Excluded, Now,
-                       Call.Kind.LongLane});
+                       Call.Kind.Name});
     if (Chosen)
       return &Candidates[*Chosen];
   }
@@ -279,10 +280,10 @@
   --Call.AttemptsLeft;
   Call.InFlight.push_back(Attempt);
   Call.Excluded.insert(Server.Server);
-  Attempts.emplace(
-      Attempt, OpenAttempt{Call.Start.Call, Server, Now, Call.Kind.LongLane});
+  Attempts.emplace(Attempt,
+                   OpenAttempt{Call.Start.Call, Server, Now, Call.Kind.Name});
   AttemptsByNode[Server.Node].insert(Attempt);
-  Records.attemptSent(Server.Server, Call.Kind.LongLane, Now);
+  Records.attemptSent(Server.Server, Call.Kind.Name, Now);
   Actions.push_back(SendAttempt{Server.Node, makeRequest(Call, Attempt, Now)});
 }
 
@@ -370,8 +371,8 @@
   OfNode->second.erase(Id);
   if (OfNode->second.empty())
     AttemptsByNode.erase(OfNode);
-  Records.attemptEnded(Ended.Server.Server,
-                       {Ended.SentAt, Ended.LongLane, Reply}, Now);
+  Records.attemptEnded(Ended.Server.Server, {Ended.SentAt, Ended.Kind, Reply},
+                       Now);
   return std::move(Ended);
 }
 
--- a/Source/Core/Routing/ServerRecords.cpp
+++ b/Source/Core/Routing/ServerRecords.cpp
@@ -12,17 +12,17 @@
 constexpr int GivenUpFactor = 2;
 constexpr int FirstServerError = 500;
 
-void addLatency(LaneRecord &Lane, Common::Micros Latency,
+void addLatency(KindLatency &Shown, Common::Micros Latency,
                 Common::SteadyTime Now) {
   const double Weight =
-      Latency > Lane.SmoothedLatency ? RisingWeight : FallingWeight;
-  if (Lane.Answers == 0)
-    Lane.SmoothedLatency = Latency;
+      Latency > Shown.SmoothedLatency ? RisingWeight : FallingWeight;
+  if (Shown.Answers == 0)
+    Shown.SmoothedLatency = Latency;
   else
-    Lane.SmoothedLatency += std::chrono::duration_cast<Common::Micros>(
-        Weight * (Latency - Lane.SmoothedLatency));
-  Lane.MeasuredAt = Now;
-  ++Lane.Answers;
+    Shown.SmoothedLatency += std::chrono::duration_cast<Common::Micros>(
+        Weight * (Latency - Shown.SmoothedLatency));
+  Shown.MeasuredAt = Now;
+  ++Shown.Answers;
 }
 
 // A fast error must not make a server look fast. A full queue is load and no
@@ -37,7 +37,7 @@
          Reply.Result == ResultCode::ConnectionLost;
 }
 
-void takeReply(ServerRecord &Record, LaneRecord &Lane, const CallReply &Reply,
+void takeReply(ServerRecord &Record, KindLatency &Shown, const CallReply &Reply,
                Common::Micros Latency, Common::SteadyTime Now) {
   if (Reply.Load.Slots > 0) {
     Record.Reported = Reply.Load;
@@ -49,12 +49,17 @@
     Record.LastFailure = Now;
   } else if (Reply.Result == Common::ResultCode::Ok) {
     Record.ConsecutiveFailures = 0;
-    addLatency(Lane, Latency, Now);
+    addLatency(Shown, Latency, Now);
   }
 }
 
 } // namespace
 
+const KindLatency *ServerRecord::kind(const std::string &Name) const {
+  const auto Found = Kinds.find(Name);
+  return Found == Kinds.end() ? nullptr : &Found->second;
+}
+
 void ServerRecords::useServers(const ServerView &View, Common::SteadyTime Now) {
   std::set<std::string> Live;
   for (const auto &[Service, Servers] : View.ByService)
@@ -69,11 +74,20 @@
   });
 }
 
-void ServerRecords::attemptSent(const std::string &Server, bool LongLane,
+void ServerRecords::useKinds(
+    const std::map<std::string, Config::RequestKind> &Known) {
+  for (auto &[Server, Record] : Records)
+    std::erase_if(Record.Kinds, [&](const auto &Each) {
+      return !Known.contains(Each.first);
+    });
+}
+
+void ServerRecords::attemptSent(const std::string &Server,
+                                const std::string &Kind,
                                 Common::SteadyTime Now) {
   ServerRecord &Record = Records[Server];
   ++Record.OwnInFlight;
-  Record.lane(LongLane).InFlight.insert(Now);
+  Record.Kinds[Kind].InFlight.insert(Now);
 }
 
 void ServerRecords::attemptEnded(const std::string &Server,
@@ -83,17 +97,17 @@
   if (Found == Records.end())
     return;
   ServerRecord &Record = Found->second;
-  LaneRecord &Lane = Record.lane(Outcome.LongLane);
+  KindLatency &Shown = Record.Kinds[Outcome.Kind];
   --Record.OwnInFlight;
-  const auto Sent = Lane.InFlight.find(Outcome.SentAt);
-  if (Sent != Lane.InFlight.end())
-    Lane.InFlight.erase(Sent);
+  const auto Sent = Shown.InFlight.find(Outcome.SentAt);
+  if (Sent != Shown.InFlight.end())
+    Shown.InFlight.erase(Sent);
   const auto Latency =
       std::chrono::duration_cast<Common::Micros>(Now - Outcome.SentAt);
   if (Outcome.Reply)
-    takeReply(Record, Lane, *Outcome.Reply, Latency, Now);
-  else if (Latency > Lane.SmoothedLatency)
-    addLatency(Lane, GivenUpFactor * Latency, Now);
+    takeReply(Record, Shown, *Outcome.Reply, Latency, Now);
+  else if (Latency > Shown.SmoothedLatency)
+    addLatency(Shown, GivenUpFactor * Latency, Now);
 }
 
 const ServerRecord *ServerRecords::find(const std::string &Server) const {
--- a/Source/Core/Routing/ServerRecords.h
+++ b/Source/Core/Routing/ServerRecords.h
@@ -1,19 +1,21 @@
 #pragma once
 
-#include <array>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
 
 #include "Common/ResultCode.h"
 #include "Common/Time.h"
+#include "Config/ObjectSet.h"
 #include "Routing/Call.h"
 #include "Routing/ServerView.h"
 
 namespace Routing {
 
-// What calls of one lane have shown about a server.
-struct LaneRecord {
+// What calls of one request kind have shown about a server. Kinds are apart,
+// since a server is not slow for working long on a kind that takes long.
+struct KindLatency {
   // Round trip as measured here; it rises faster than it falls.
   Common::Micros SmoothedLatency{0};
   Common::SteadyTime MeasuredAt;
@@ -28,7 +30,7 @@
   ServerLoad Reported;
   Common::SteadyTime ReportedAt;
   int OwnInFlightAtReport = 0;
-  std::array<LaneRecord, 2> Lanes;
+  std::unordered_map<std::string, KindLatency> Kinds;
   Common::SteadyTime FirstSeen;
   int ConsecutiveFailures = 0;
   Common::SteadyTime LastFailure;
@@ -36,14 +38,14 @@
   Common::SteadyTime AsideUntil;
   bool OnProbation = false;
 
-  const LaneRecord &lane(bool LongLane) const { return Lanes[LongLane]; }
-  LaneRecord &lane(bool LongLane) { return Lanes[LongLane]; }
+  // Null when no call of the kind was sent to the server yet.
+  const KindLatency *kind(const std::string &Name) const;
 };
 
 // How an attempt ended, as far as the server's record goes.
 struct AttemptOutcome {
   Common::SteadyTime SentAt;
-  bool LongLane = false;
+  std::string Kind;
   // Null when the attempt was given up without an answer.
   const CallReply *Reply = nullptr;
 };
@@ -52,7 +54,9 @@
 class ServerRecords {
 public:
   void useServers(const ServerView &View, Common::SteadyTime Now);
-  void attemptSent(const std::string &Server, bool LongLane,
+  // Forgets all other kinds.
+  void useKinds(const std::map<std::string, Config::RequestKind> &Known);
+  void attemptSent(const std::string &Server, const std::string &Kind,
                    Common::SteadyTime Now);
   void attemptEnded(const std::string &Server, const AttemptOutcome &Outcome,
                     Common::SteadyTime Now);
--- a/Source/UnitTests/Routing/AdaptiveChoiceTests.cpp
+++ b/Source/UnitTests/Routing/AdaptiveChoiceTests.cpp
@@ -15,6 +15,7 @@
   ServerRecords Records;
   std::vector<ServerEntry> Servers;
   std::set<std::string> Excluded;
+  std::string Kind = "k";
   Common::SteadyTime Now{Millis(1'000'000)};
 
   void add(const std::string &Name, const std::string &DataCentre,
@@ -26,16 +27,17 @@
   }
   void settle() { Now += Millis(20'000); }
   std::string choose() {
-    const auto Index = Choice.choose({Servers, Records, "here", Excluded, Now});
+    const auto Index =
+        Choice.choose({Servers, Records, "here", Excluded, Now, Kind});
     return Index ? Servers[*Index].Server : "";
   }
   void answer(const std::string &Name, Millis Latency, int Status = 200,
               ServerLoad Load = {}) {
-    Records.attemptSent(Name, false, Now - Latency);
+    Records.attemptSent(Name, Kind, Now - Latency);
     CallReply Reply;
     Reply.HttpStatus = Status;
     Reply.Load = Load;
-    Records.attemptEnded(Name, {Now - Latency, false, &Reply}, Now);
+    Records.attemptEnded(Name, {Now - Latency, Kind, &Reply}, Now);
   }
   std::map<std::string, int> count(int Choices) {
     std::map<std::string, int> Result;
@@ -61,10 +63,10 @@
   answer("near", Millis(5));
   for (int Calls = 0; Calls < 12; ++Calls) {
     BOOST_TEST(choose() == "near");
-    Records.attemptSent("near", false, Now);
+    Records.attemptSent("near", Kind, Now);
   }
   for (int Calls = 0; Calls < 12; ++Calls)
-    Records.attemptSent("near", false, Now);
+    Records.attemptSent("near", Kind, Now);
   BOOST_TEST(choose() == "far");
 }
 
@@ -86,22 +88,40 @@
   Now += Millis(600);
   BOOST_TEST(count(1000)["a"] > 0);
   // Also while that call is the least load of all.
-  Records.attemptSent("a", false, Now);
+  Records.attemptSent("a", Kind, Now);
   for (const char *Name : {"b", "c", "d", "e"})
     for (int Count = 0; Count < 3; ++Count)
-      Records.attemptSent(Name, false, Now);
+      Records.attemptSent(Name, Kind, Now);
   BOOST_TEST(count(1000)["a"] == 0);
 }
 
 BOOST_FIXTURE_TEST_CASE(NoticesASlowServerBeforeItsFirstAnswer, Fixture) {
   addFive();
-  Records.attemptSent("a", false, Now);
+  Records.attemptSent("a", Kind, Now);
   Now += Millis(40);
   for (const char *Name : {"b", "c", "d", "e"})
-    Records.attemptSent(Name, false, Now);
+    Records.attemptSent(Name, Kind, Now);
   BOOST_TEST(count(1000)["a"] == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(LongWorkOfAnotherKindIsNoSlowness, Fixture) {
+  addFive();
+  Records.attemptSent("a", "report", Now);
+  Now += Millis(40);
+  for (const char *Name : {"b", "c", "d", "e"})
+    Records.attemptSent(Name, Kind, Now);
+  BOOST_TEST(count(1000)["a"] > 100);
+}
+
+BOOST_FIXTURE_TEST_CASE(NoServerIsSlowBeforeTheUsualIsKnown, Fixture) {
+  for (const char *Name : {"a", "b", "c"})
+    add(Name, "here");
+  Records.attemptSent("a", Kind, Now);
+  Now += Millis(40);
+  choose();
+  BOOST_TEST(!Records.find("a")->OnProbation);
+}
+
 BOOST_FIXTURE_TEST_CASE(LyingReportsDoNotAttractAllCalls, Fixture) {
   addFive();
   add("liar", "here", 1000);
