Encode claims, outcomes and verdicts

An IDL file and a codec of their own, so that the frames between nodes stay as they are. Times of issue out of range are refused where they are decoded, as they would overflow the clock's type.

--- /dev/null
+++ b/Source/Core/Wire/OnceCodec.cpp
@@ -0,0 +1,176 @@
+#include "Wire/OnceCodec.h"
+
+#include <memory>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include "Common/Error.h"
+#include "Once_types.h"
+
+namespace Wire {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using Common::Error;
+using Common::ResultCode;
+using Protocol = TCompactProtocolT<TMemoryBuffer>;
+
+// The largest time of issue that fits into WallTime together with a window.
+constexpr std::int64_t MaxIssueMillis = 9'000'000'000'000;
+
+template <class Struct> std::string pack(const Struct &Content) {
+  auto Buffer = std::make_shared<TMemoryBuffer>();
+  Protocol Out(Buffer);
+  Content.write(&Out);
+  return Buffer->getBufferAsString();
+}
+
+template <class Struct>
+Struct unpack(std::string_view Bytes, ResultCode OnFailure) {
+  // The library wants a mutable pointer but only reads in OBSERVE mode.
+  auto *Data =
+      reinterpret_cast<std::uint8_t *>(const_cast<char *>(Bytes.data()));
+  auto Buffer = std::make_shared<TMemoryBuffer>(
+      Data, static_cast<std::uint32_t>(Bytes.size()), TMemoryBuffer::OBSERVE);
+  // A damaged length must not make the library reserve that much.
+  Protocol In(Buffer, static_cast<std::int32_t>(Bytes.size()),
+              static_cast<std::int32_t>(Bytes.size()));
+  Struct Content;
+  try {
+    Content.read(&In);
+  } catch (const std::exception &Failure) {
+    throw Error(OnFailure, Failure.what());
+  }
+  return Content;
+}
+
+Generated::OnceClaim toWire(const Once::Claim &From) {
+  Generated::OnceClaim Result;
+  Result.Key = From.Key;
+  Result.Holder = From.Holder;
+  Result.Fingerprint = static_cast<std::int64_t>(From.Fingerprint);
+  Result.IssuedMillis = std::chrono::duration_cast<Common::Millis>(
+                            From.IssuedAt.time_since_epoch())
+                            .count();
+  return Result;
+}
+
+Once::Claim fromWire(const Generated::OnceClaim &From, ResultCode OnFailure) {
+  if (From.IssuedMillis < 0 || From.IssuedMillis > MaxIssueMillis)
+    throw Error(OnFailure, "time of issue");
+  Once::Claim Result;
+  Result.Key = From.Key;
+  Result.Holder = From.Holder;
+  Result.Fingerprint = static_cast<std::uint64_t>(From.Fingerprint);
+  Result.IssuedAt = Common::WallTime(Common::Millis(From.IssuedMillis));
+  return Result;
+}
+
+Generated::OnceOutcome toWire(const Once::Outcome &From) {
+  Generated::OnceOutcome Result;
+  Result.Key = From.Key;
+  Result.Holder = From.Holder;
+  Result.Result = Common::resultCodeNumber(From.Result);
+  Result.HttpStatus = From.HttpStatus;
+  Result.Headers = From.Fields;
+  Result.Body = From.Body;
+  Result.WithoutBody = From.WithoutBody;
+  return Result;
+}
+
+Once::Outcome fromWire(const Generated::OnceOutcome &From) {
+  Once::Outcome Result;
+  Result.Key = From.Key;
+  Result.Holder = From.Holder;
+  Result.Result = static_cast<ResultCode>(From.Result);
+  Result.HttpStatus = From.HttpStatus;
+  Result.Fields = From.Headers;
+  Result.Body = From.Body;
+  Result.WithoutBody = From.WithoutBody;
+  return Result;
+}
+
+Generated::OnceMessage wrap(const ClaimAsk &From) {
+  Generated::OnceAsk Part;
+  Part.Wanted = toWire(From.Wanted);
+  Part.RemainingMicros = From.Remaining.count();
+  Generated::OnceMessage Result;
+  Result.__set_Ask(Part);
+  return Result;
+}
+
+Generated::OnceMessage wrap(const Once::Verdict &From) {
+  Generated::OnceVerdict Part;
+  Part.Holder = From.Holder;
+  Part.Kind = static_cast<std::int32_t>(From.Kind);
+  if (From.Ended)
+    Part.__set_Ended(toWire(*From.Ended));
+  Generated::OnceMessage Result;
+  Result.__set_Told(Part);
+  return Result;
+}
+
+Generated::OnceMessage wrap(const Once::Outcome &From) {
+  Generated::OnceMessage Result;
+  Result.__set_Ended(toWire(From));
+  return Result;
+}
+
+Once::Verdict fromWire(const Generated::OnceVerdict &From) {
+  constexpr auto LastKind =
+      static_cast<std::int32_t>(Once::VerdictKind::Refused);
+  if (From.Kind < 0 || From.Kind > LastKind)
+    throw Error(ResultCode::FrameMalformed, "kind of verdict");
+  Once::Verdict Result;
+  Result.Holder = From.Holder;
+  Result.Kind = static_cast<Once::VerdictKind>(From.Kind);
+  if (From.__isset.Ended)
+    Result.Ended = fromWire(From.Ended);
+  return Result;
+}
+
+} // namespace
+
+std::string encodeClaimsEnvelope(const ClaimsEnvelope &Content) {
+  return std::visit([](const auto &Part) { return pack(wrap(Part)); }, Content);
+}
+
+ClaimsEnvelope decodeClaimsEnvelope(std::string_view Bytes) {
+  const auto From =
+      unpack<Generated::OnceMessage>(Bytes, ResultCode::FrameMalformed);
+  if (From.__isset.Ask)
+    return ClaimAsk{fromWire(From.Ask.Wanted, ResultCode::FrameMalformed),
+                    Common::Micros(From.Ask.RemainingMicros)};
+  if (From.__isset.Told)
+    return fromWire(From.Told);
+  if (From.__isset.Ended)
+    return fromWire(From.Ended);
+  throw Error(ResultCode::FrameMalformed, "empty claims message");
+}
+
+std::string encodeClaimBatch(const Once::Batch &Content) {
+  Generated::OnceBatch Result;
+  Result.Id = Content.Id;
+  for (const Once::Claim &Each : Content.Claims)
+    Result.Claims.push_back(toWire(Each));
+  for (const Once::Outcome &Each : Content.Outcomes)
+    Result.Outcomes.push_back(toWire(Each));
+  return pack(Result);
+}
+
+Once::Batch decodeClaimBatch(std::string_view Bytes) {
+  const auto From =
+      unpack<Generated::OnceBatch>(Bytes, ResultCode::RecordMalformed);
+  Once::Batch Result;
+  Result.Id = From.Id;
+  for (const Generated::OnceClaim &Each : From.Claims)
+    Result.Claims.push_back(fromWire(Each, ResultCode::RecordMalformed));
+  for (const Generated::OnceOutcome &Each : From.Outcomes)
+    Result.Outcomes.push_back(fromWire(Each));
+  return Result;
+}
+
+} // namespace Wire
