Claim the key of each call that must not run twice

The front holds a call of a non-idempotent kind until the claims service has decided on its key; the dispatcher knows nothing of it. Callers without Idempotency-Key are refused.

--- /dev/null
+++ b/Source/Core/Node/ClaimedCall.cpp
@@ -0,0 +1,81 @@
+#include "Node/ClaimedCall.h"
+
+#include <algorithm>
+
+#include "Wire/Compression.h"
+
+namespace Node {
+
+namespace {
+
+constexpr const char *KeyField = "idempotency-key";
+constexpr const char *CallerField = "idempotency-caller";
+constexpr const char *RecordedField = "x-zinnia-recorded";
+constexpr std::size_t MaxCallerLength = 64;
+
+} // namespace
+
+std::optional<Common::Micros> limitOfClaimed(const Config::ObjectSet *Set,
+                                             const Routing::CallStart &Start) {
+  const Config::Route *Route =
+      Set ? Set->findRoute(Start.Method, Start.Path) : nullptr;
+  if (!Route)
+    return std::nullopt;
+  const Config::RequestKind &Kind = Set->kinds().at(Route->Kind);
+  if (Kind.Idempotent)
+    return std::nullopt;
+  return std::min(Start.Limit.value_or(Kind.Deadline), Kind.Deadline);
+}
+
+Once::ParsedKey keyOf(const Routing::CallStart &Start,
+                      const Once::KeyWindow &Window, Common::WallTime Now) {
+  const auto Key = Start.Fields.find(KeyField);
+  const auto Named = Start.Fields.find(CallerField);
+  // The first letter keeps names and IP numbers apart.
+  std::string Caller =
+      Named == Start.Fields.end() ? "a" + Start.Caller : "n" + Named->second;
+  Once::ParsedKey Result =
+      Once::parseKey(std::move(Caller),
+                     Key == Start.Fields.end() ? "" : Key->second, Window, Now);
+  if (Result.Code == Common::ResultCode::Ok &&
+      Result.Key.Caller.size() > MaxCallerLength)
+    Result.Code = Common::ResultCode::MalformedRequest;
+  return Result;
+}
+
+std::uint64_t fingerprintOf(const Routing::CallStart &Start) {
+  // The lengths keep the parts apart.
+  return Wire::hashOf(std::to_string(Start.Method.size()) + ' ' +
+                      std::to_string(Start.Target.size()) + ' ' + Start.Method +
+                      Start.Target + Start.Body);
+}
+
+Once::Outcome toOutcome(const Routing::CallReply &Reply,
+                        std::size_t BodyLimit) {
+  Once::Outcome Result;
+  Result.Result = Reply.Result;
+  Result.HttpStatus = Reply.HttpStatus;
+  std::size_t Bytes = Reply.Body.size();
+  for (const auto &[Name, Value] : Reply.Fields)
+    Bytes += Name.size() + Value.size();
+  Result.WithoutBody = Bytes > BodyLimit;
+  if (!Result.WithoutBody) {
+    Result.Fields = Reply.Fields;
+    Result.Body = Reply.Body;
+  }
+  return Result;
+}
+
+Routing::CallReply toReply(const Once::Outcome &Ended) {
+  Routing::CallReply Result;
+  Result.Result = Common::isUnknownOutcome(Ended.Result)
+                      ? Common::ResultCode::DuplicateOfClaimed
+                      : Ended.Result;
+  Result.HttpStatus = Ended.HttpStatus;
+  Result.Fields = Ended.Fields;
+  Result.Body = Ended.Body;
+  Result.Fields[RecordedField] = Ended.WithoutBody ? "without-body" : "whole";
+  return Result;
+}
+
+} // namespace Node
--- a/Source/Core/Node/FrontService.h
+++ b/Source/Core/Node/FrontService.h
@@ -3,14 +3,17 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include <spdlog/spdlog.h>
 
 #include "Http/Server.h"
 #include "Kernel/Host.h"
 #include "Node/CallResponse.h"
+#include "Node/ClaimedCall.h"
 #include "Node/Messages.h"
 #include "Node/NodeSettings.h"
+#include "Once/PendingCalls.h"
 #include "Routing/Dispatcher.h"
 
 namespace Node {
@@ -18,6 +21,7 @@
 // Takes callers' requests and drives them through the near-side decisions.
 template <Routing::ChoicePolicy Policy, Kernel::MessageSink<PeersMessage> Peers,
           Kernel::MessageSink<MembersMessage> Members,
+          Kernel::MessageSink<ClaimsMessage> Claims,
           Kernel::MessageSink<AdminMessage> Admin>
 class FrontService {
 public:
@@ -26,6 +30,7 @@
   struct Sinks {
     Peers ToPeers;
     Members ToMembers;
+    Claims ToClaims;
     Admin ToAdmin;
   };
 
@@ -63,9 +68,13 @@
   void stop() { Listener.reset(); }
 
 private:
+  // The claims answer by the deadline; this is how long they may be late.
+  static constexpr Common::Millis ClaimSlack{100};
+
   void take(ConfigAccepted &Part) {
     if (Part.Newest.Number <= Calls.version())
       return;
+    Set = Part.Newest.Set;
     Calls.useSet(Part.Newest.Number, Part.Newest.Set);
     Targets.ToAdmin.post(VersionInForce{Part.Newest.Number});
     Targets.ToMembers.post(VersionInForce{Part.Newest.Number});
@@ -74,6 +83,29 @@
   void take(ReplyArrived &Part) { act(Calls.reply(Part.Reply, now())); }
   void take(NodeLost &Part) { act(Calls.connectionLost(Part.Address, now())); }
 
+  void take(ClaimDecided &Part) {
+    const bool IsWon = Part.Code == Common::ResultCode::Ok && !Part.Recorded;
+    auto Released = Pending.release(Part.Call, IsWon, now());
+    if (!Released) {
+      // Its answer is out, so it must not run any more.
+      if (IsWon)
+        endClaim(Part.Call, Common::ResultCode::ClaimUnavailable);
+      return;
+    }
+    if (IsWon)
+      Claimed.insert(Part.Call);
+    if (Released->MayRun) {
+      Released->Held.Limit = std::chrono::duration_cast<Common::Micros>(
+          Released->Deadline - now());
+      act(Calls.begin(std::move(Released->Held), now()));
+      return;
+    }
+    Routing::CallReply Answer = Part.Recorded.value_or(Routing::CallReply());
+    if (!Part.Recorded)
+      Answer.Result = IsWon ? Common::ResultCode::ClaimUnavailable : Part.Code;
+    perform(Routing::AnswerCaller{Part.Call, std::move(Answer), 0});
+  }
+
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
 
   void takeRequest(Http::ExchangeId Id, Http::Request Asked) {
@@ -87,15 +119,48 @@
       act({Routing::AnswerCaller{Start.Call, Refused, 0}});
       return;
     }
-    act(Calls.begin(std::move(Start), now()));
+    if (const auto Limit = limitOfClaimed(Set.get(), Start))
+      claim(std::move(Start), now() + *Limit);
+    else
+      act(Calls.begin(std::move(Start), now()));
     armDeadline();
   }
 
+  // A call of a non-idempotent kind begins when its key is claimed.
+  void claim(Routing::CallStart Start, Common::SteadyTime Deadline) {
+    const Routing::CallId Call = Start.Call;
+    Once::ParsedKey Parsed =
+        keyOf(Start, Settings.ClaimWindow, std::chrono::system_clock::now());
+    Routing::CallReply Refused;
+    Refused.Result = Parsed.Code;
+    if (Parsed.Code == Common::ResultCode::Ok) {
+      const auto Posted = Targets.ToClaims.post(ClaimCall{
+          Call, std::move(Parsed.Key), fingerprintOf(Start), Deadline});
+      if (Posted == Kernel::PostResult::Accepted) {
+        Pending.hold(Call, std::move(Start), Deadline);
+        // Answers even when the claims do not.
+        Clock.after(Deadline + ClaimSlack - now(), [this, Call] {
+          ClaimDecided Silent{Call, Common::ResultCode::OutcomeUnknown, {}};
+          take(Silent);
+        });
+        return;
+      }
+      Refused.Result = Common::ResultCode::ClaimUnavailable;
+    }
+    perform(Routing::AnswerCaller{Call, Refused, 0});
+  }
+
   void act(const Routing::DispatchActions &Actions) {
     for (const Routing::DispatchAction &Each : Actions)
       std::visit([this](const auto &Part) { this->perform(Part); }, Each);
   }
 
+  void endClaim(Routing::CallId Call, Common::ResultCode Code) {
+    Routing::CallReply Reply;
+    Reply.Result = Code;
+    Targets.ToClaims.post(ClaimedCallEnded{Call, std::move(Reply)});
+  }
+
   void perform(const Routing::SendAttempt &Part) {
     const auto Posted =
         Targets.ToPeers.post(SendRequest{Part.Node, Part.Request});
@@ -110,6 +175,8 @@
     Targets.ToPeers.post(SendCancel{Part.Node, Part.Attempt});
   }
   void perform(const Routing::AnswerCaller &Part) {
+    if (Claimed.erase(Part.Call) > 0)
+      Targets.ToClaims.post(ClaimedCallEnded{Part.Call, Part.Reply});
     const auto Correlation = Correlations.extract(Part.Call);
     if (Part.Reply.Result != Common::ResultCode::Ok)
       spdlog::info("call {}: {} {}", Correlation.mapped(),
@@ -136,7 +203,7 @@
   }
 
   void finishDrain() {
-    if (!OnDrained || Calls.openCalls() > 0)
+    if (!OnDrained || Calls.openCalls() > 0 || Pending.size() > 0)
       return;
     // The answers still have to leave through the sockets.
     Clock.after(Common::Millis(200), std::exchange(OnDrained, nullptr));
@@ -147,6 +214,10 @@
   NodeSettings Settings;
   Sinks Targets;
   Routing::Dispatcher<Policy> Calls;
+  Config::ObjectSetPtr Set;
+  Once::PendingCalls<Routing::CallStart> Pending;
+  // Calls that run under a claim.
+  std::unordered_set<Routing::CallId> Claimed;
   std::unique_ptr<Http::Server> Listener;
   std::unordered_map<Routing::CallId, std::string> Correlations;
   std::optional<Kernel::TimerId> Timer;
--- a/Source/Core/Node/MembersService.h
+++ b/Source/Core/Node/MembersService.h
@@ -19,6 +19,7 @@
 // which backend servers are live.
 template <Kernel::MessageSink<FrontMessage> Front,
           Kernel::MessageSink<ConfigMessage> Config,
+          Kernel::MessageSink<ClaimsMessage> Claims,
           Kernel::MessageSink<AdminMessage> Admin>
 class MembersService {
 public:
@@ -27,6 +28,7 @@
   struct Sinks {
     Front ToFront;
     Config ToConfig;
+    Claims ToClaims;
     Admin ToAdmin;
   };
 
@@ -159,6 +161,7 @@
       return;
     PublishedMembers = Alive;
     Targets.ToConfig.post(MembersChanged{PublishedMembers});
+    Targets.ToClaims.post(MembersChanged{PublishedMembers});
   }
 
   void publishServers() {
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -2,12 +2,14 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "Config/AcceptedHistory.h"
 #include "Membership/Member.h"
+#include "Once/CallKey.h"
 #include "Routing/Call.h"
 #include "Routing/ServerView.h"
 
@@ -21,6 +23,7 @@
 inline const std::string ControlName = "control";
 inline const std::string ConfigName = "config";
 inline const std::string MembersName = "members";
+inline const std::string ClaimsName = "claims";
 inline const std::string AdminName = "admin";
 
 // The connection a call came by; LocalOrigin is the front of this node.
@@ -39,8 +42,15 @@
 struct NodeLost {
   Routing::NodeAddress Address;
 };
-using FrontMessage =
-    std::variant<ConfigAccepted, ServersChanged, ReplyArrived, NodeLost>;
+// The claim of a call was decided: Code is Ok when the call may run, otherwise
+// its answer; Recorded is the answer of the call that held the key.
+struct ClaimDecided {
+  Routing::CallId Call = 0;
+  Common::ResultCode Code = Common::ResultCode::Ok;
+  std::optional<Routing::CallReply> Recorded;
+};
+using FrontMessage = std::variant<ConfigAccepted, ServersChanged, ReplyArrived,
+                                  NodeLost, ClaimDecided>;
 
 struct SendRequest {
   Routing::NodeAddress Address;
@@ -117,6 +127,22 @@
 using ConfigMessage =
     std::variant<MembersChanged, EnvelopeArrived, EnvelopeLost>;
 
+// A call that must run at most once asks for its key.
+struct ClaimCall {
+  Routing::CallId Call = 0;
+  Once::CallKey Key;
+  // Hash of what was asked under the key.
+  std::uint64_t Fingerprint = 0;
+  Common::SteadyTime Deadline;
+};
+// A call that was let run has ended.
+struct ClaimedCallEnded {
+  Routing::CallId Call = 0;
+  Routing::CallReply Reply;
+};
+using ClaimsMessage = std::variant<ClaimCall, ClaimedCallEnded, MembersChanged,
+                                   EnvelopeArrived, EnvelopeLost>;
+
 struct RecordJudged {
   Config::Verdict Judged;
 };
--- a/Source/Core/Node/NodeBuilder.cpp
+++ b/Source/Core/Node/NodeBuilder.cpp
@@ -2,6 +2,7 @@
 
 #include "Node/AdminService.h"
 #include "Node/BackendService.h"
+#include "Node/ClaimsService.h"
 #include "Node/ConfigService.h"
 #include "Node/ControlService.h"
 #include "Node/FrontService.h"
@@ -17,14 +18,18 @@
 using BackendAddress = Kernel::Address<BackendMessage>;
 using MembersAddress = Kernel::Address<MembersMessage>;
 using ConfigAddress = Kernel::Address<ConfigMessage>;
+using ClaimsAddress = Kernel::Address<ClaimsMessage>;
+using ControlAddress = Kernel::Address<ControlMessage>;
 using AdminAddress = Kernel::Address<AdminMessage>;
 
 using Front = FrontService<Routing::TwoChoices, PeersAddress, MembersAddress,
-                           AdminAddress>;
+                           ClaimsAddress, AdminAddress>;
 using PeersTask = PeersService<FrontAddress, BackendAddress>;
 using BackendTask = BackendService<PeersAddress>;
 using ConfigTask = ConfigService<FrontAddress, AdminAddress>;
-using MembersTask = MembersService<FrontAddress, ConfigAddress, AdminAddress>;
+using ClaimsTask = ClaimsService<FrontAddress, ControlAddress>;
+using MembersTask =
+    MembersService<FrontAddress, ConfigAddress, ClaimsAddress, AdminAddress>;
 using AdminTask = AdminService<BackendAddress, MembersAddress>;
 
 // Calls pass front, peers and backend on one task: each hop between threads
@@ -74,12 +79,13 @@
             });
       });
   Builder.service<Front>(
-      FrontName, CallTask, {PeersName, BackendName},
+      FrontName, CallTask, {PeersName, BackendName, ClaimsName},
       [Own](Kernel::Context Around) {
         return std::make_unique<Front>(
             Around, Own, Routing::TwoChoices(std::random_device{}()),
             Front::Sinks{Around.Services.find<PeersMessage>(PeersName),
                          Around.Services.find<MembersMessage>(MembersName),
+                         Around.Services.find<ClaimsMessage>(ClaimsName),
                          Around.Services.find<AdminMessage>(AdminName)});
       });
   Builder.service<AdminTask>(
@@ -98,6 +104,8 @@
               ControlService::SinksByService Sinks;
               Sinks[ConfigName] =
                   envelopeSinks(Services.find<ConfigMessage>(ConfigName));
+              Sinks[ClaimsName] =
+                  envelopeSinks(Services.find<ClaimsMessage>(ClaimsName));
               return Sinks;
             });
       });
@@ -109,14 +117,25 @@
             ConfigTask::Sinks{Around.Services.find<FrontMessage>(FrontName),
                               Around.Services.find<AdminMessage>(AdminName)});
       });
+  // Claims outlive the front at a stop, so that the outcomes of the last calls
+  // are still recorded.
+  Builder.service<ClaimsTask>(
+      ClaimsName, ControlTask, {ControlName}, [Own](Kernel::Context Around) {
+        return std::make_unique<ClaimsTask>(
+            Around, Own,
+            ClaimsTask::Sinks{
+                Around.Services.find<FrontMessage>(FrontName),
+                Around.Services.find<ControlMessage>(ControlName)});
+      });
   Builder.service<MembersTask>(
-      MembersName, ControlTask, {FrontName, AdminName},
+      MembersName, ControlTask, {FrontName, AdminName, ClaimsName},
       [Own](Kernel::Context Around) {
         return std::make_unique<MembersTask>(
             Around, Own, [&Services = Around.Services] {
               return MembersTask::Sinks{
                   Services.find<FrontMessage>(FrontName),
                   Services.find<ConfigMessage>(ConfigName),
+                  Services.find<ClaimsMessage>(ClaimsName),
                   Services.find<AdminMessage>(AdminName)};
             });
       });
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::int64_t MaxPort = 65535;
 constexpr std::int64_t Second = 1'000'000;
+constexpr std::int64_t MaxRetention = 2'592'000 * Second;
 
 SeedAddress parseSeed(const std::string &Text) {
   const std::size_t Colon = Text.find(':');
@@ -29,6 +30,24 @@
   return Seed;
 }
 
+// Covers a batcher's delay in reading, and the coarse expiry of a log.
+constexpr Common::Micros RetentionMargin{30'000'000};
+
+void readClaimSettings(const Common::Settings &From, NodeSettings &Result) {
+  Result.ClaimStream = From.text("claims", "stream");
+  Result.ClaimWindow.Length = From.time("claims", "window");
+  Result.ClaimInterval = From.time("claims", "interval");
+  Result.ClaimBatch = static_cast<std::size_t>(From.integer("claims", "batch"));
+  Result.ClaimAnswerLimit =
+      static_cast<std::size_t>(From.integer("claims", "answer-limit"));
+  const Common::Micros Needed = Result.ClaimWindow.Length +
+                                Result.ClaimWindow.ClockSkew + RetentionMargin;
+  if (From.time("log", "retention") < Needed)
+    throw Common::Error(Common::ResultCode::SettingsOutOfRange,
+                        "[claims] window: the log must keep records for " +
+                            Common::formatDuration(Needed));
+}
+
 } // namespace
 
 const std::vector<Common::SettingRule> &nodeSettingRules() {
@@ -82,6 +101,18 @@
        "stream of configuration records"},
       {"log", "wait", SettingType::Time, "20s", 10'000, 300 * Second,
        "how long one read waits at the log"},
+      {"log", "retention", SettingType::Time, "1h", Second, MaxRetention,
+       "how long the platform log keeps records, at least"},
+      {"claims", "stream", SettingType::Text, "claims", 0, 0,
+       "stream of claims, the same for all data centres"},
+      {"claims", "window", SettingType::Time, "10m", Second, 86400 * Second,
+       "how long an idempotency key can be used; the same on all nodes"},
+      {"claims", "interval", SettingType::Time, "25ms", 1000, Second,
+       "least time between two appends of claims by one node"},
+      {"claims", "batch", SettingType::Integer, "100", 1, 10'000,
+       "most claims, and most outcomes, in one append"},
+      {"claims", "answer-limit", SettingType::Integer, "16384", 0, 1 << 20,
+       "largest body of an answer that is recorded, in bytes"},
       {"output", "log-level", SettingType::Text, "info", 0, 0,
        "trace, debug, info, warning, error, critical or off"},
       {"output", "log-pattern", SettingType::Text,
@@ -113,6 +144,7 @@
   Result.LogUrl = From.text("log", "url");
   Result.LogStream = From.text("log", "stream");
   Result.LogWait = From.time("log", "wait");
+  readClaimSettings(From, Result);
   return Result;
 }
 
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "Common/Settings.h"
+#include "Once/CallKey.h"
 
 namespace Node {
 
@@ -35,9 +36,15 @@
   std::string LogUrl;
   std::string LogStream;
   Common::Micros LogWait{0};
+  std::string ClaimStream;
+  Once::KeyWindow ClaimWindow;
+  Common::Micros ClaimInterval{25'000};
+  std::size_t ClaimBatch = 100;
+  std::size_t ClaimAnswerLimit = 16384;
 };
 
-// Throws SettingsWrongType for a seed that is no "IP:port".
+// Throws SettingsWrongType for a seed that is no "IP:port", and
+// SettingsOutOfRange when the log forgets claims whose keys can still be used.
 NodeSettings readNodeSettings(const Common::Settings &From);
 
 } // namespace Node
--- a/Source/Programs/zinnia-load/LoadRun.cpp
+++ b/Source/Programs/zinnia-load/LoadRun.cpp
@@ -51,6 +51,11 @@
   Asked.Url = "http://" + Options.Targets[Target] + Options.Path + "?id=" + Id +
               (Options.Query.empty() ? "" : "&") + Options.Query;
   Asked.Limit = Options.CallLimit;
+  if (Options.WithKeys) {
+    const auto Issued = std::chrono::duration_cast<Common::Millis>(
+        std::chrono::system_clock::now().time_since_epoch());
+    Asked.Fields["idempotency-key"] = std::to_string(Issued.count()) + "-" + Id;
+  }
   ++Open;
   const bool Counts = Number >= Options.WarmUpCalls;
   Transport.send(std::move(Asked),
--- a/Source/Programs/zinnia-load/LoadRun.h
+++ b/Source/Programs/zinnia-load/LoadRun.h
@@ -26,6 +26,8 @@
   int ClosedCallers = 0;
   Common::Micros Length{1'000'000};
   Common::Micros CallLimit{5'000'000};
+  // Whether each call carries an Idempotency-Key made from its id.
+  bool WithKeys = false;
   // Begins each id, so that runs do not share ids.
   std::string IdPrefix = "c";
   // Calls at the start whose latency does not count.
--- a/Source/Programs/zinnia-load/Main.cpp
+++ b/Source/Programs/zinnia-load/Main.cpp
@@ -78,6 +78,7 @@
   std::string Length = "1s";
   std::string Limit = "5s";
   std::string WarmUp = "0";
+  std::string WithKeys = "no";
   Common::CommandLine("zinnia-load", "")
       .list("target", "IP:PORT", "Node to call; may be repeated",
             Options.Targets)
@@ -93,6 +94,7 @@
       .option("limit", "TIME", "How long a caller waits", Limit)
       .option("id-prefix", "TEXT", "Begins each call's id", Options.IdPrefix)
       .option("warm-up", "N", "First calls whose latency is left out", WarmUp)
+      .option("key", "yes|no", "Gives each call an Idempotency-Key", WithKeys)
       .list("ledger", "IP:PORT", "Backend server whose ledger to read", Ledgers)
       .parse(Count, Words);
   if (Options.Targets.empty())
@@ -102,6 +104,7 @@
   Options.ClosedCallers = std::stoi(Closed);
   Options.Length = timeOption(Length);
   Options.CallLimit = timeOption(Limit);
+  Options.WithKeys = WithKeys == "yes";
   Options.WarmUpCalls = std::stoi(WarmUp);
 
   Kernel::Task Worker("load");
--- a/Source/StandIns/Log/LogService.cpp
+++ b/Source/StandIns/Log/LogService.cpp
@@ -46,9 +46,9 @@
 } // namespace
 
 LogService::LogService(Kernel::Context Around, std::string Address, int Port,
-                       Common::Duration Retention)
+                       Common::Duration Retention, int AppendLimit)
     : Home(Around.Home), Address(std::move(Address)), Port(Port),
-      Store(Retention) {}
+      Store(Retention), AppendLimit(AppendLimit) {}
 
 void LogService::start() {
   Listener =
@@ -104,6 +104,10 @@
 
 void LogService::append(Http::ExchangeId Id, const std::string &Stream,
                         const std::string &Content) {
+  if (isOverLimit()) {
+    answer(Id, {429, {}, "over the limit of appends\n"});
+    return;
+  }
   const Offset At =
       Store.append(Stream, Content, std::chrono::system_clock::now());
   wakeReaders(Stream);
@@ -114,6 +118,15 @@
   answer(Id, {200, {{"x-offset", std::to_string(At)}}, ""});
 }
 
+bool LogService::isOverLimit() {
+  const Common::SteadyTime Now = std::chrono::steady_clock::now();
+  if (Now - SecondBegan >= std::chrono::seconds(1)) {
+    SecondBegan = Now;
+    AppendsInSecond = 0;
+  }
+  return AppendLimit > 0 && ++AppendsInSecond > AppendLimit;
+}
+
 void LogService::read(Http::ExchangeId Id, const std::string &Stream,
                       const std::string &Target) {
   const Offset From = queryNumber(Target, "from");
--- a/Source/StandIns/Log/LogService.h
+++ b/Source/StandIns/Log/LogService.h
@@ -35,7 +35,7 @@
   using Message = std::variant<SetFaults>;
 
   LogService(Kernel::Context Around, std::string Address, int Port,
-             Common::Duration Retention);
+             Common::Duration Retention, int AppendLimit);
 
   void start();
   void handle(const Message &Content);
@@ -54,6 +54,7 @@
               const std::string &Content);
   void read(Http::ExchangeId Id, const std::string &Stream,
             const std::string &Target);
+  bool isOverLimit();
   void answerRead(Http::ExchangeId Id, const std::string &Stream,
                   Platform::Offset From);
   void answer(Http::ExchangeId Id, Http::Response Reply);
@@ -66,6 +67,10 @@
   std::string Address;
   int Port;
   LogStore Store;
+  // Appends a second, 0 for any number.
+  int AppendLimit;
+  Common::SteadyTime SecondBegan;
+  int AppendsInSecond = 0;
   LogFaults Faults;
   std::unique_ptr<Http::Server> Listener;
   std::vector<WaitingRead> Waiting;
--- a/Source/StandIns/Log/LogStore.cpp
+++ b/Source/StandIns/Log/LogStore.cpp
@@ -1,5 +1,7 @@
 #include "StandIns/Log/LogStore.h"
 
+#include <algorithm>
+
 namespace StandIns {
 
 using Platform::Offset;
@@ -25,10 +27,12 @@
   const auto Found = Streams.find(Stream);
   if (Found == Streams.end())
     return Result;
-  for (const Platform::LogRecord &Each : Found->second.Records) {
-    if (Each.At >= From && Result.size() < Limit)
-      Result.push_back(Each);
-  }
+  // Offsets have no gaps.
+  const auto &Records = Found->second.Records;
+  const Offset Start = std::max(From, first(Stream)) - first(Stream);
+  for (auto At = static_cast<std::size_t>(Start);
+       At < Records.size() && Result.size() < Limit; ++At)
+    Result.push_back(Records[At]);
   return Result;
 }
 
--- a/Source/StandIns/Log/Main.cpp
+++ b/Source/StandIns/Log/Main.cpp
@@ -9,9 +9,12 @@
   std::string Address = "127.0.0.1";
   std::string Port = "0";
   std::string Retention = "1h";
+  std::string AppendLimit = "0";
   Common::CommandLine("zinnia-standin-log", "")
       .option("address", "IP", "Address to listen on", Address)
       .option("port", "PORT", "Port to listen on; 0 takes a free one", Port)
+      .option("append-limit", "N", "Appends a second; 0 for any number",
+              AppendLimit)
       .option("retention", "TIME", "How long records are kept", Retention)
       .parse(Count, Words);
   const auto Kept = Common::parseDuration(Retention);
@@ -22,8 +25,8 @@
   Kernel::HostBuilder Builder;
   Builder.task("log").service<StandIns::LogService>(
       "log", "log", {}, [&](Kernel::Context Around) {
-        return std::make_unique<StandIns::LogService>(Around, Address,
-                                                      std::stoi(Port), *Kept);
+        return std::make_unique<StandIns::LogService>(
+            Around, Address, std::stoi(Port), *Kept, std::stoi(AppendLimit));
       });
   Kernel::Host Running = Builder.build();
   Running.start();
