--- a/Source/UnitTests/Once/ClaimModelTests.cpp
+++ b/Source/UnitTests/Once/ClaimModelTests.cpp
@@ -40,6 +40,15 @@
   expectSafe(Topology::Shared, {0, 1, 1, false});
 }
 
+// The whole space is too large here, so only a part of it is looked at.
+BOOST_AUTO_TEST_CASE(claimsSentToBothBatchersKeepItSafe) {
+  const CheckResult Result = checkAll(
+      ClaimWorld<Once::ReadBackRule>(Topology::Own, {0, 0, 0, true}), 300'000);
+  BOOST_TEST_MESSAGE("states " << Result.States);
+  BOOST_TEST(Result.Violation == "");
+  BOOST_TEST(Result.HasReplayed);
+}
+
 BOOST_AUTO_TEST_CASE(theAppendsAnswerAloneRunsACallTwice) {
   const CheckResult Result =
       checkAll(ClaimWorld<AppendAnswerRule>(Topology::Own, {}), MaxStates);
--- a/Tools/cluster.sh
+++ b/Tools/cluster.sh
@@ -67,6 +67,7 @@
   Pids+=($!)
 }
 
+# NodeExtra holds further lines of settings.
 start_node() { # NAME DATA-CENTRE CALL PEER MEMBER ADMIN SEEDS LOG-PORT CONTROL
   cat >"$Run/$1.ini" <<S
 [node]
@@ -86,6 +87,7 @@
 port = $6
 [log]
 url = http://127.0.0.1:$8
+${NodeExtra:-}
 S
   "$Bin/zinnia-node" --settings "$Run/$1.ini" 2>"$Run/$1.log" &
   Pids+=($!)
