--- a/Source/Core/Node/MembersService.h
+++ b/Source/Core/Node/MembersService.h
@@ -21,6 +21,7 @@
 // is alive and which backend servers there are.
 template <Kernel::MessageSink<FrontMessage> Front,
           Kernel::MessageSink<ConfigMessage> Config,
+          Kernel::MessageSink<ClaimsMessage> Claims,
           Kernel::MessageSink<AdminMessage> Admin>
 class MembersService {
 public:
@@ -29,6 +30,7 @@
   struct Sinks {
     Front ToFront;
     Config ToConfig;
+    Claims ToClaims;
     Admin ToAdmin;
   };
 
@@ -175,6 +177,7 @@
       return;
     PublishedMembers = Alive;
     Targets.ToConfig.post(MembersChanged{PublishedMembers});
+    Targets.ToClaims.post(MembersChanged{PublishedMembers});
   }
 
   void publishServers() {
--- a/Source/Core/Node/NodeBuilder.cpp
+++ b/Source/Core/Node/NodeBuilder.cpp
@@ -3,6 +3,7 @@
 #include "Admission/FifoOrder.h"
 #include "Node/AdminService.h"
 #include "Node/BackendService.h"
+#include "Node/ClaimsService.h"
 #include "Node/ConfigService.h"
 #include "Node/ControlService.h"
 #include "Node/FrontService.h"
@@ -20,15 +21,19 @@
 using BackendAddress = Kernel::Address<BackendMessage>;
 using MembersAddress = Kernel::Address<MembersMessage>;
 using ConfigAddress = Kernel::Address<ConfigMessage>;
+using ClaimsAddress = Kernel::Address<ClaimsMessage>;
 using MetricsAddress = Kernel::Address<MetricsMessage>;
 using AdminAddress = Kernel::Address<AdminMessage>;
 
 template <Routing::ChoicePolicy Policy>
-using Front = FrontService<Policy, PeersAddress, MembersAddress, AdminAddress>;
+using Front = FrontService<Policy, PeersAddress, MembersAddress, ClaimsAddress,
+                           AdminAddress>;
 using PeersTask = PeersService<FrontAddress, BackendAddress>;
 using ControlAddress = Kernel::Address<ControlMessage>;
 using ConfigTask = ConfigService<FrontAddress, AdminAddress, ControlAddress>;
-using MembersTask = MembersService<FrontAddress, ConfigAddress, AdminAddress>;
+using ClaimsTask = ClaimsService<FrontAddress, ControlAddress>;
+using MembersTask =
+    MembersService<FrontAddress, ConfigAddress, ClaimsAddress, AdminAddress>;
 using AdminTask = AdminService<BackendAddress, MembersAddress, MetricsAddress>;
 using MetricsTask = MetricsService<AdminAddress>;
 
@@ -52,13 +57,14 @@
 void addFront(Kernel::HostBuilder &Builder, const NodeSettings &Own,
               Policy Choice) {
   Builder.service<Front<Policy>>(
-      FrontName, CallTask, {PeersName, BackendName},
+      FrontName, CallTask, {PeersName, BackendName, ClaimsName},
       [Own, Choice](Kernel::Context Around) {
         return std::make_unique<Front<Policy>>(
             Around, Own, Choice,
             typename Front<Policy>::Sinks{
                 Around.Services.find<PeersMessage>(PeersName),
                 Around.Services.find<MembersMessage>(MembersName),
+                Around.Services.find<ClaimsMessage>(ClaimsName),
                 Around.Services.find<AdminMessage>(AdminName)});
       });
 }
@@ -144,6 +150,8 @@
               ControlService::SinksByService Sinks;
               Sinks[ConfigName] =
                   envelopeSinks(Services.find<ConfigMessage>(ConfigName));
+              Sinks[ClaimsName] =
+                  envelopeSinks(Services.find<ClaimsMessage>(ClaimsName));
               return Sinks;
             });
       });
@@ -157,14 +165,25 @@
                 Around.Services.find<AdminMessage>(AdminName),
                 Around.Services.find<ControlMessage>(ControlName)});
       });
+  // Claims outlive the front at a stop, so that the outcomes of the last calls
+  // are still recorded.
+  Builder.service<ClaimsTask>(
+      ClaimsName, ControlTask, {ControlName}, [Own](Kernel::Context Around) {
+        return std::make_unique<ClaimsTask>(
+            Around, Own,
+            ClaimsTask::Sinks{
+                Around.Services.find<FrontMessage>(FrontName),
+                Around.Services.find<ControlMessage>(ControlName)});
+      });
   Builder.service<MembersTask>(
-      MembersName, ControlTask, {FrontName, AdminName},
+      MembersName, ControlTask, {FrontName, AdminName, ClaimsName},
       [Own](Kernel::Context Around) {
         return std::make_unique<MembersTask>(
             Around, Own, [&Services = Around.Services] {
               return MembersTask::Sinks{
                   Services.find<FrontMessage>(FrontName),
                   Services.find<ConfigMessage>(ConfigName),
+                  Services.find<ClaimsMessage>(ClaimsName),
                   Services.find<AdminMessage>(AdminName)};
             });
       });
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "Common/Settings.h"
+#include "Once/CallKey.h"
 
 namespace Node {
 
@@ -51,10 +52,16 @@
   bool EveryNodeReads = false;
   std::string CheckpointStream;
   Common::Micros CheckpointInterval{0};
+  std::string ClaimStream;
+  Once::KeyWindow ClaimWindow;
+  Common::Micros ClaimInterval{25'000};
+  std::size_t ClaimBatch = 100;
+  std::size_t ClaimAnswerLimit = 16384;
 };
 
-// Throws SettingsWrongType for a seed that is no "IP:port", an unknown choice
-// policy and an unknown order of admission.
+// Throws SettingsWrongType for a seed that is no "IP:port" and for unknown
+// policies, and SettingsOutOfRange when the log forgets claims whose keys can
+// still be used.
 NodeSettings readNodeSettings(const Common::Settings &From);
 
 } // namespace Node
--- a/Source/Programs/zinnia-load/LoadCommandLine.cpp
+++ b/Source/Programs/zinnia-load/LoadCommandLine.cpp
@@ -32,6 +32,7 @@
   std::string WarmUp = "0";
   std::string Seed = "1";
   std::string Tasks = "1";
+  std::string WithKeys = "no";
   Common::CommandLine("zinnia-load", "")
       .list("target", "IP:PORT", "Node to call; may be repeated",
             Options.Targets)
@@ -56,6 +57,7 @@
       .option("limit", "TIME", "How long a caller waits", Limit)
       .option("id-prefix", "TEXT", "Begins each call's id", Options.IdPrefix)
       .option("warm-up", "N", "First calls whose latency is left out", WarmUp)
+      .option("key", "yes|no", "Gives each call an Idempotency-Key", WithKeys)
       .option("csv", "FILE", "Where to write what each 100 ms brought",
               Job.CsvFile)
       .list("ledger", "IP:PORT", "Backend server whose ledger to read",
@@ -76,6 +78,7 @@
   Options.ClosedCallers = std::stoi(Closed);
   Options.Length = timeOption(Length);
   Options.CallLimit = timeOption(Limit);
+  Options.WithKeys = WithKeys == "yes";
   Options.WarmUpCalls = std::stoi(WarmUp);
   return Job;
 }
--- a/Source/Programs/zinnia-load/LoadRun.cpp
+++ b/Source/Programs/zinnia-load/LoadRun.cpp
@@ -65,6 +65,12 @@
   if (!Options.Sources.empty())
     Asked.SourceAddress = Options.Sources[Turn % Options.Sources.size()];
   Asked.Limit = Options.CallLimit;
+  if (Options.WithKeys) {
+    const auto Issued = std::chrono::duration_cast<Common::Millis>(
+        std::chrono::system_clock::now().time_since_epoch());
+    Asked.Fields["idempotency-key"] =
+        std::to_string(Issued.count()) + "-" + Call.Id;
+  }
   ++Open;
   Transport.send(std::move(Asked),
                  [this, Call](const Http::ClientResult &Result) {
