--- a/Source/UnitTests/Routing/AdaptiveChoiceTests.cpp
+++ b/Source/UnitTests/Routing/AdaptiveChoiceTests.cpp
@@ -122,6 +122,19 @@
   BOOST_TEST(!Records.find("a")->OnProbation);
 }
 
+BOOST_FIXTURE_TEST_CASE(LeastRequestsTakesTheIdlestForItsSlots, Fixture) {
+  add("small", "here", 2);
+  add("large", "here", 8);
+  for (int Calls = 0; Calls < 2; ++Calls) {
+    Records.attemptSent("small", Kind, Now);
+    Records.attemptSent("large", Kind, Now);
+  }
+  LeastRequests Least(1);
+  const auto Chosen =
+      Least.choose({Servers, Records, "here", Excluded, Now, Kind});
+  BOOST_TEST(*Chosen == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(LyingReportsDoNotAttractAllCalls, Fixture) {
   addFive();
   add("liar", "here", 1000);
