Let a starting herd find its peers before it reads or pushes

After all nodes but one of two data centres of four were killed and started again together, a node got the set five times ([config-traffic] received-whole-set = 5): nodes took themselves for readers before they had heard of one another, which takes some heartbeats, and each pushed. A node now waits 1 s and up to 1 s of jitter before it may read the log, and pushes only after 3 s; nodes without a set ask a peer at once, so that serving does not wait for this. Ruled out: a limit on the receiver alone, which would not save the bytes.

--- a/Source/Core/Config/Spreader.cpp
+++ b/Source/Core/Config/Spreader.cpp
@@ -185,8 +185,7 @@
 void Spreader::settleReading() {
   // A starting node that knew nobody would take itself for the reader; a herd
   // of them would go to the log together.
-  const bool Discovered =
-      Now - Start >= DiscoveryJitter + Given.PeerDiscovery / 4;
+  const bool Discovered = Now - Start >= Given.PeerDiscovery + DiscoveryJitter;
   const bool Wanted =
       Given.EveryNodeReads || (Discovered && Election.isReader(Now));
   if (Wanted == Reading)
@@ -208,7 +207,10 @@
     Kept.pop_front();
   Snapshots.clear();
   WantWhole = false;
-  if (Reading && !Given.EveryNodeReads)
+  // Nodes that start together may each be the reader for a moment; if all of
+  // them pushed, each would get the set many times.
+  const bool Settled = Now - Start >= Given.PeerDiscovery * 3;
+  if (Reading && Settled && !Given.EveryNodeReads)
     queuePushes();
 }
 
--- a/Source/Core/Node/ConfigService.h
+++ b/Source/Core/Node/ConfigService.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 
 #include <spdlog/spdlog.h>
 
@@ -80,14 +81,21 @@
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
 
   void tick() {
+    if (ChangedMembers)
+      usePeers(*std::exchange(ChangedMembers, nullptr));
     act(Spread.tick(now()));
     reportBytes();
     Clock.after(TickInterval, [this] { tick(); });
   }
 
-  void take(const MembersChanged &Part) {
+  // While a change spreads, the versions of all members change one by one.
+  // They are taken over together at the next tick.
+  void take(const MembersChanged &Part) { ChangedMembers = Part.Alive; }
+
+  void usePeers(const std::vector<Membership::Member> &Alive) {
     std::vector<Config::SpreadPeer> Peers;
-    for (const Membership::Member &Each : *Part.Alive)
+    Peers.reserve(Alive.size());
+    for (const Membership::Member &Each : Alive)
       Peers.push_back({Each.Node, Each.DataCentre,
                        Each.Address + ":" + std::to_string(Each.ControlPort),
                        Each.ConfigVersion});
@@ -365,6 +373,7 @@
   Sinks Targets;
   std::mt19937_64 Random;
   Config::Spreader Spread;
+  std::shared_ptr<const std::vector<Membership::Member>> ChangedMembers;
   Config::CheckpointAssembler Checkpoints;
   Platform::Offset CheckpointNext = 1;
   std::map<std::string, ByteCount> Traffic;
--- a/Source/UnitTests/Config/SpreaderTests.cpp
+++ b/Source/UnitTests/Config/SpreaderTests.cpp
@@ -231,6 +231,40 @@
   BOOST_TEST(Tested.Nodes[Tested.readerOf("derby")].DeltasSent >= 5);
 }
 
+BOOST_AUTO_TEST_CASE(ANodeThatHasJustStartedDoesNotPush) {
+  const Common::SteadyTime Begin;
+  int Readers = 0;
+  for (const char *Other : {"b", "c", "d", "e", "f", "g"}) {
+    Spreader Tested = loneNode();
+    Tested.setPeers({{Other, "x", Other, 0}}, Begin + Millis(2100));
+    if (!Tested.isReading())
+      continue;
+    ++Readers;
+    std::optional<Verdict> Judged;
+    const auto Pushes = [&](Version At, Millis After) {
+      const SpreadActions Actions = Tested.record(
+          At, proposal(std::to_string(At), At - 1, "s"), Judged, Begin + After);
+      return std::count_if(
+          Actions.begin(), Actions.end(), [](const auto &Each) {
+            const auto *Sent = std::get_if<SendToPeer>(&Each);
+            return Sent && std::holds_alternative<SetSnapshot>(Sent->Content);
+          });
+    };
+    BOOST_TEST(Pushes(1, Millis(2200)) == 0);
+    BOOST_TEST(Pushes(2, Millis(3200)) == 1);
+  }
+  BOOST_TEST(Readers > 0);
+}
+
+BOOST_AUTO_TEST_CASE(ALargeDataCentreIsServedWithFewFlights) {
+  Mesh Tested = meshOf(80);
+  Tested.publish("one");
+  Tested.run(Millis(6000));
+  const Version Second = Tested.publish("two");
+  Tested.run(Millis(700));
+  BOOST_TEST(Tested.allAt(Second));
+}
+
 BOOST_AUTO_TEST_CASE(ADeadReaderIsReplacedAndItsSpreadRepaired) {
   Mesh Tested = meshOf(5);
   Tested.publish("one");
@@ -300,9 +334,9 @@
 
 BOOST_AUTO_TEST_CASE(StartingNodesLearnTheirPeersBeforeTheyReadTheLog) {
   Mesh Tested = meshOf(8);
-  Tested.run(Millis(200));
+  Tested.run(Millis(950));
   BOOST_TEST(Tested.readers("derby") == 0);
-  Tested.run(Millis(1500));
+  Tested.run(Millis(1200));
   BOOST_TEST(Tested.readers("derby") == 1);
 }
 
--- a/Tools/bench/convergence.py
+++ b/Tools/bench/convergence.py
@@ -105,7 +105,7 @@
 
 
 def main():
-    tool, run, log, changes, kills = sys.argv[1:]
+    tool, run, log, changes, kills, how = sys.argv[1:]
     with open(f"{run}/nodes") as lines:
         nodes = [Node(*line.split()) for line in lines]
     path = f"{run}/set.ini"
@@ -154,14 +154,23 @@
         with ThreadPoolExecutor(1) as one:
             publishing = one.submit(publish, tool, log, path)
             time.sleep(random.uniform(0, 0.02))
-            os.kill(reader.pid, signal.SIGKILL)
+            os.kill(reader.pid, getattr(signal, f"SIG{how}"))
             reader.alive = False
             version = publishing.result()
         times = wait_in_force(nodes, version, pool)
         killed.append(max(0, max(times) - append_time(log, version)))
-        print(f"  {reader.name} killed: {killed[-1] / 1000:.1f} ms")
+        print(f"  {reader.name} {how}: {killed[-1] / 1000:.1f} ms")
     if killed:
-        show("with the reader killed", killed)
+        show(f"with the reader's {how}", killed)
+    if how == "STOP" and killed:
+        began = time.monotonic()
+        for node in nodes:
+            if not node.alive:
+                os.kill(node.pid, signal.SIGCONT)
+                node.alive = True
+        wait_in_force(nodes, version, pool)
+        print(f"all woken nodes have it after "
+              f"{(time.monotonic() - began) * 1000:.0f} ms")
 
 
 main()
--- a/Tools/bench/convergence.sh
+++ b/Tools/bench/convergence.sh
@@ -1,14 +1,17 @@
 #!/usr/bin/env bash
 # Measures how long a change takes from the log to force on the last node, and
-# the bytes it costs, on loopback: convergence.sh [NODES-PER-DATA-CENTRE]
-# [CHANGES] [readers|all] [KILLS]. There are two data centres. KILLS is how many
-# times the reader of one of them is killed while a change spreads.
+# the bytes it costs, on loopback:
+#   convergence.sh [NODES-PER-DATA-CENTRE] [CHANGES] [readers|all] [KILLS]
+#                  [KILL|STOP]
+# There are two data centres. KILLS is how many times the reader of one of them
+# is killed while a change spreads, or with STOP frozen and woken at the end.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 PerCentre=${1:-5}
 Changes=${2:-50}
 Follow=${3:-readers}
 Kills=${4:-0}
+Signal=${5:-KILL}
 Bin=$PWD/build/release/bin
 Run=$(mktemp -d)
 source Tools/cluster.sh
@@ -31,4 +34,4 @@
 done
 
 python3 Tools/bench/convergence.py "$Bin/zinniactl" "$Run" \
-  "http://127.0.0.1:$LogPort" "$Changes" "$Kills"
+  "http://127.0.0.1:$LogPort" "$Changes" "$Kills" "$Signal"
