--- a/Source/Core/Config/Spreader.cpp
+++ b/Source/Core/Config/Spreader.cpp
@@ -97,6 +97,7 @@
 void Spreader::take(const HeldVersion &Part, SpreadLink Link) {
   (void)Link;
   Flights.end(Part.Node);
+  Acknowledged[Part.Node] = Part.Held;
   if (Part.ReadsLog)
     Election.heardReader(Part.Node, Now);
   for (SpreadPeer &Each : Peers)
@@ -185,8 +186,7 @@
 void Spreader::settleReading() {
   // A starting node that knew nobody would take itself for the reader; a herd
   // of them would go to the log together.
-  const bool Discovered =
-      Now - Start >= DiscoveryJitter + Given.PeerDiscovery / 4;
+  const bool Discovered = Now - Start >= Given.PeerDiscovery + DiscoveryJitter;
   const bool Wanted =
       Given.EveryNodeReads || (Discovered && Election.isReader(Now));
   if (Wanted == Reading)
@@ -207,8 +207,15 @@
   if (Kept.size() > KeptSets)
     Kept.pop_front();
   Snapshots.clear();
+  // What is older than that can't be a base.
+  std::erase_if(Acknowledged, [this](const auto &Each) {
+    return Each.second < Kept.front().Number;
+  });
   WantWhole = false;
-  if (Reading && !Given.EveryNodeReads)
+  // Nodes that start together may each be the reader for a moment; if all of
+  // them pushed, each would get the set many times.
+  const bool Settled = Now - Start >= Given.PeerDiscovery * 3;
+  if (Reading && Settled && !Given.EveryNodeReads)
     queuePushes();
 }
 
@@ -240,8 +247,9 @@
     if (Target && Target->Held < History.current().Number) {
       if (!Flights.start(Target->Node, Now))
         return;
+      const Version Held = std::max(Target->Held, Acknowledged[Target->Node]);
       // A peer that has not told its version yet gets the whole set.
-      if (const SetSnapshot *Content = snapshotFor(Target->Held, false))
+      if (const SetSnapshot *Content = snapshotFor(Held, false))
         Actions.push_back(SendToPeer{Target->Address, *Content});
     }
     PushQueue.pop_front();
--- a/Source/UnitTests/Config/SpreaderTests.cpp
+++ b/Source/UnitTests/Config/SpreaderTests.cpp
@@ -231,6 +231,47 @@
   BOOST_TEST(Tested.Nodes[Tested.readerOf("derby")].DeltasSent >= 5);
 }
 
+BOOST_AUTO_TEST_CASE(PushesOnceSettledAndAgainstWhatWasAcknowledged) {
+  const Common::SteadyTime Begin;
+  int Readers = 0;
+  for (const char *Other : {"b", "c", "d", "e", "f", "g"}) {
+    Spreader Tested = loneNode();
+    Tested.setPeers({{Other, "x", Other, 0}}, Begin + Millis(2100));
+    if (!Tested.isReading())
+      continue;
+    ++Readers;
+    // The base of the set that is pushed, if one is.
+    const auto Pushed = [&](Version At, Millis After) {
+      std::optional<Verdict> Judged;
+      std::optional<Version> Base;
+      for (const auto &Each : Tested.record(
+               At, proposal(std::to_string(At), At - 1, std::to_string(At)),
+               Judged, Begin + After))
+        if (const auto *Sent = std::get_if<SendToPeer>(&Each))
+          if (const auto *Set = std::get_if<SetSnapshot>(&Sent->Content))
+            Base = Set->Base;
+      return Base;
+    };
+    // Nodes that start together must not all push.
+    BOOST_TEST(!Pushed(1, Millis(2200)).has_value());
+    BOOST_TEST(Pushed(2, Millis(3200)).value() == 0);
+    // The table of members still shows version 0.
+    Tested.take(HeldVersion{Other, 2, false}, 1, Begin + Millis(3250));
+    Tested.setPeers({{Other, "x", Other, 0}}, Begin + Millis(3300));
+    BOOST_TEST(Pushed(3, Millis(3400)).value() == 2);
+  }
+  BOOST_TEST(Readers > 0);
+}
+
+BOOST_AUTO_TEST_CASE(ALargeDataCentreIsServedWithFewFlights) {
+  Mesh Tested = meshOf(80);
+  Tested.publish("one");
+  Tested.run(Millis(6000));
+  const Version Second = Tested.publish("two");
+  Tested.run(Millis(700));
+  BOOST_TEST(Tested.allAt(Second));
+}
+
 BOOST_AUTO_TEST_CASE(ADeadReaderIsReplacedAndItsSpreadRepaired) {
   Mesh Tested = meshOf(5);
   Tested.publish("one");
@@ -300,9 +341,9 @@
 
 BOOST_AUTO_TEST_CASE(StartingNodesLearnTheirPeersBeforeTheyReadTheLog) {
   Mesh Tested = meshOf(8);
-  Tested.run(Millis(200));
+  Tested.run(Millis(950));
   BOOST_TEST(Tested.readers("derby") == 0);
-  Tested.run(Millis(1500));
+  Tested.run(Millis(1200));
   BOOST_TEST(Tested.readers("derby") == 1);
 }
 
