--- a/Source/Core/Once/ClaimBatcher.h
+++ b/Source/Core/Once/ClaimBatcher.h
@@ -24,7 +24,7 @@
   // Claims that wait here, and outcomes that wait to be appended.
   std::size_t MaxOpen = 4096;
   // Claims of the window in memory.
-  std::size_t MaxKnown = 200'000;
+  std::size_t MaxKnown = 60'000;
   std::size_t AnswerLimit = 32 << 20;
   Common::Micros AppendInterval{25'000};
   Common::Micros RetryDelay{100'000};
