--- a/Source/Core/Http/Server.cpp
+++ b/Source/Core/Http/Server.cpp
@@ -92,7 +92,6 @@
   std::unordered_map<ExchangeId, Exchange *> Open;
   ExchangeId NextId = 1;
   bool RunScheduled = false;
-  bool Closing = false;
   std::optional<Kernel::TimerId> Timer;
   bool Stopping = false;
   // Guards jobs that outlive the server.
@@ -107,7 +106,6 @@
     Clock.cancel(*Timer);
   // The library aborts the process when it is stopped while a connection is
   // suspended, so from here on none may be.
-  Closing = true;
   for (const auto &[Id, Each] : Open) {
     if (!Each->Suspended)
       continue;
@@ -177,8 +175,6 @@
   }
   if (Current.Reply)
     return sendReply(Current);
-  if (Closing)
-    return MHD_NO;
   if (Current.BodyOverLimit) {
     const auto Code = Common::ResultCode::BodyTooLarge;
     Current.Reply = Response{
