Feed the metrics from the front, and test the burn report end to end

Cause: the report had no data. The front sends samples of ended calls in batches, each 250 ms or 256 calls: a message a call would wake the control thread each time. A call that is refused before it reaches the Dispatcher, such as a payout without a key, counts for its service as well.

Scenario burn: 100 good calls, 50 without a live server, 20 without a key; the report calls the first ok, the others FAST BURN, and names 101 NoLiveServer and 112 KeyMissing with their counts.

--- a/Source/Core/Node/FrontService.h
+++ b/Source/Core/Node/FrontService.h
@@ -22,6 +22,7 @@
 template <Routing::ChoicePolicy Policy, Kernel::MessageSink<PeersMessage> Peers,
           Kernel::MessageSink<MembersMessage> Members,
           Kernel::MessageSink<ClaimsMessage> Claims,
+          Kernel::MessageSink<MetricsMessage> Metrics,
           Kernel::MessageSink<AdminMessage> Admin>
 class FrontService {
 public:
@@ -31,6 +32,7 @@
     Peers ToPeers;
     Members ToMembers;
     Claims ToClaims;
+    Metrics ToMetrics;
     Admin ToAdmin;
   };
 
@@ -68,6 +70,16 @@
   void stop() { Listener.reset(); }
 
 private:
+  struct OpenCall {
+    std::string CorrelationId;
+    Common::SteadyTime Arrived;
+    // Known from the start for claimed calls alone.
+    std::string Service;
+    std::string Kind;
+  };
+
+  static constexpr std::size_t MaxSamplesHeld = 256;
+  static constexpr Common::Millis SampleInterval{250};
   // The claims answer by the deadline; this is how long they may be late.
   static constexpr Common::Millis ClaimSlack{100};
 
@@ -103,7 +115,7 @@
     Routing::CallReply Answer = Part.Recorded.value_or(Routing::CallReply());
     if (!Part.Recorded)
       Answer.Result = IsWon ? Common::ResultCode::ClaimUnavailable : Part.Code;
-    perform(Routing::AnswerCaller{Part.Call, std::move(Answer), 0});
+    answer(Part.Call, std::move(Answer));
   }
 
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
@@ -112,11 +124,11 @@
     Routing::CallStart Start =
         toCallStart(static_cast<Routing::CallId>(Id), std::move(Asked),
                     Settings.Name + "-" + std::to_string(Id));
-    Correlations.emplace(Start.Call, Start.CorrelationId);
+    OpenCalls.emplace(Start.Call, OpenCall{Start.CorrelationId, now(), {}, {}});
     if (Draining) {
       Routing::CallReply Refused;
       Refused.Result = Common::ResultCode::Draining;
-      act({Routing::AnswerCaller{Start.Call, Refused, 0}});
+      answer(Start.Call, std::move(Refused));
       return;
     }
     if (const auto Limit = limitOfClaimed(Set.get(), Start))
@@ -129,6 +141,10 @@
   // A call of a non-idempotent kind begins when its key is claimed.
   void claim(Routing::CallStart Start, Common::SteadyTime Deadline) {
     const Routing::CallId Call = Start.Call;
+    const Config::Route *Route = Set->findRoute(Start.Method, Start.Path);
+    OpenCall &Opened = OpenCalls.at(Call);
+    Opened.Service = Route->Service;
+    Opened.Kind = Route->Kind;
     Once::ParsedKey Parsed =
         keyOf(Start, Settings.ClaimWindow, std::chrono::system_clock::now());
     Routing::CallReply Refused;
@@ -147,7 +163,7 @@
       }
       Refused.Result = Common::ResultCode::ClaimUnavailable;
     }
-    perform(Routing::AnswerCaller{Call, Refused, 0});
+    answer(Call, std::move(Refused));
   }
 
   void act(const Routing::DispatchActions &Actions) {
@@ -178,17 +194,52 @@
   void perform(const Routing::AnswerCaller &Part) {
     if (Claimed.erase(Part.Call) > 0)
       Targets.ToClaims.post(ClaimedCallEnded{Part.Call, Part.Reply});
-    const auto Correlation = Correlations.extract(Part.Call);
+    const OpenCall Ended = std::move(OpenCalls.extract(Part.Call).mapped());
     if (Part.Reply.Result != Common::ResultCode::Ok)
-      spdlog::info("call {}: {} {}", Correlation.mapped(),
+      spdlog::info("call {}: {} {}", Ended.CorrelationId,
                    Common::resultCodeNumber(Part.Reply.Result),
                    Common::resultCodeName(Part.Reply.Result));
     Listener->answer(
         static_cast<Http::ExchangeId>(Part.Call),
-        toResponse(Part.Reply, Part.Attempts, Correlation.mapped()));
+        toResponse(Part.Reply, Part.Attempts, Ended.CorrelationId));
+    sample(Part, Ended);
     finishDrain();
   }
 
+  // Ends a call that never reached the Dispatcher.
+  void answer(Routing::CallId Call, Routing::CallReply Reply) {
+    Routing::AnswerCaller Answer;
+    Answer.Call = Call;
+    Answer.Reply = std::move(Reply);
+    perform(Answer);
+  }
+
+  void sample(const Routing::AnswerCaller &Part, const OpenCall &Ended) {
+    Report::CallSample Taken;
+    Taken.Service = Part.Service.empty() ? Ended.Service : Part.Service;
+    Taken.Kind = Part.Kind.empty() ? Ended.Kind : Part.Kind;
+    Taken.Result = Part.Reply.Result;
+    Taken.HttpStatus = Part.Reply.HttpStatus;
+    Taken.DataCentre = Part.DataCentre;
+    Taken.Server = Part.Reply.Server;
+    Taken.Latency =
+        std::chrono::duration_cast<Common::Micros>(now() - Ended.Arrived);
+    Taken.Attempts = Part.Attempts;
+    Samples.push_back(std::move(Taken));
+    if (Samples.size() >= MaxSamplesHeld)
+      sendSamples();
+    else if (Samples.size() == 1)
+      Clock.after(SampleInterval, [this] { sendSamples(); });
+  }
+
+  // Figures are no reason to hold up a call: what finds no room is dropped.
+  void sendSamples() {
+    if (Samples.empty())
+      return;
+    Targets.ToMetrics.post(CallsEnded{std::move(Samples)});
+    Samples.clear();
+  }
+
   void armTimer() {
     const auto Next = Calls.nextDue();
     if (!Next || (Timer && ArmedFor <= *Next))
@@ -220,7 +271,8 @@
   // Calls that run under a claim.
   std::unordered_set<Routing::CallId> Claimed;
   std::unique_ptr<Http::Server> Listener;
-  std::unordered_map<Routing::CallId, std::string> Correlations;
+  std::unordered_map<Routing::CallId, OpenCall> OpenCalls;
+  std::vector<Report::CallSample> Samples;
   std::optional<Kernel::TimerId> Timer;
   Common::SteadyTime ArmedFor;
   bool Draining = false;
--- a/Source/Core/Node/NodeBuilder.cpp
+++ b/Source/Core/Node/NodeBuilder.cpp
@@ -27,7 +27,7 @@
 
 template <Routing::ChoicePolicy Policy>
 using Front = FrontService<Policy, PeersAddress, MembersAddress, ClaimsAddress,
-                           AdminAddress>;
+                           MetricsAddress, AdminAddress>;
 using PeersTask = PeersService<FrontAddress, BackendAddress>;
 using ControlAddress = Kernel::Address<ControlMessage>;
 using ConfigTask = ConfigService<FrontAddress, AdminAddress, ControlAddress>;
@@ -65,6 +65,7 @@
                 Around.Services.find<PeersMessage>(PeersName),
                 Around.Services.find<MembersMessage>(MembersName),
                 Around.Services.find<ClaimsMessage>(ClaimsName),
+                Around.Services.find<MetricsMessage>(MetricsName),
                 Around.Services.find<AdminMessage>(AdminName)});
       });
 }
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -49,6 +49,11 @@
   CallId Call = 0;
   CallReply Reply;
   int Attempts = 0;
+  // Empty for a call without a route.
+  std::string Service;
+  std::string Kind;
+  // Where the last attempt that ended was sent; empty without one.
+  std::string DataCentre;
 };
 using DispatchAction = std::variant<SendAttempt, CancelAttempt, AnswerCaller>;
 using DispatchActions = std::vector<DispatchAction>;
@@ -98,6 +103,7 @@
     // Servers that have an attempt of this call or had one that failed.
     std::set<std::string> Excluded;
     std::vector<AttemptId> InFlight;
+    std::string LastDataCentre;
     // Set once an attempt may have run: the call is then never "not run".
     std::optional<Common::ResultCode> UnknownOutcome;
   };
@@ -193,7 +199,8 @@
   const auto Refuse = [&](Common::ResultCode Code) {
     CallReply Reply;
     Reply.Result = Code;
-    Actions.push_back(AnswerCaller{Start.Call, std::move(Reply), 0});
+    Actions.push_back(
+        AnswerCaller{Start.Call, std::move(Reply), 0, {}, {}, {}});
     return Actions;
   };
   if (!Set)
@@ -385,6 +392,7 @@
     return;
   OpenCall &Call = Calls.at(Ended->Call);
   std::erase(Call.InFlight, Id);
+  Call.LastDataCentre = Ended->Server.DataCentre;
   if (Reply.Result == Common::ResultCode::Ok) {
     noteLatency(Call, *Ended, Now);
     cancelInFlight(Call, Now, Actions);
@@ -500,8 +508,10 @@
   auto Node = Calls.extract(Call);
   disarmHedge(Node.mapped());
   Deadlines.erase(std::pair(Node.mapped().Deadline, Call));
-  Actions.push_back(
-      AnswerCaller{Call, std::move(Reply), Node.mapped().AttemptsMade});
+  OpenCall &Ended = Node.mapped();
+  Actions.push_back(AnswerCaller{
+      Call, std::move(Reply), Ended.AttemptsMade, std::move(Ended.Service),
+      std::move(Ended.Kind.Name), std::move(Ended.LastDataCentre)});
 }
 
 } // namespace Routing
--- a/Source/Programs/zinnia-scenario/Mesh.cpp
+++ b/Source/Programs/zinnia-scenario/Mesh.cpp
@@ -167,18 +167,39 @@
 int Mesh::exitCode(const std::string &Name) { return find(Name).exitCode(); }
 
 std::pair<int, std::string>
-Mesh::control(const std::vector<std::string> &Words) {
-  std::vector<std::string> All = {BinFolder + "/zinniactl", "--log",
-                                  "http://" + onLoopback(LogPort)};
-  All.insert(All.end(), Words.begin(), Words.end());
-  const std::string OutFile = RunFolder + "/zinniactl.out";
+Mesh::runToEnd(const std::vector<std::string> &Words) {
+  const std::string OutFile = RunFolder + "/command.out";
   std::ofstream(OutFile).close();
-  Process Command(All, OutFile, OutFile);
+  Process Command(Words, OutFile, OutFile);
   while (!Command.hasEnded())
     std::this_thread::sleep_for(PollInterval);
   return {Command.exitCode(), Common::readFile(OutFile)};
 }
 
+std::pair<int, std::string>
+Mesh::control(const std::vector<std::string> &Words) {
+  std::vector<std::string> All = {BinFolder + "/zinniactl", "--log",
+                                  "http://" + onLoopback(LogPort)};
+  All.insert(All.end(), Words.begin(), Words.end());
+  return runToEnd(All);
+}
+
+std::pair<int, std::string>
+Mesh::burn(const std::map<std::string, std::string> &Services) {
+  const std::string File = RunFolder + "/burn.ini";
+  std::ofstream Out(File);
+  Out << "[nodes]\nadmin =";
+  for (const auto &[Name, Ports] : Nodes)
+    Out << " " << onLoopback(Ports.Admin);
+  for (const auto &[Name, Service] : Services)
+    Out << "\n[objective " << Name << "]\nservice = " << Service
+        << "\ntarget-percent = 99.9";
+  Out << "\n";
+  Out.close();
+  return runToEnd({BinFolder + "/zinnia-burn", "--settings", File, "--page",
+                   RunFolder + "/burn.html"});
+}
+
 void Mesh::postFaults(int Port, const std::string &Ini) {
   Http::ClientRequest Asked;
   Asked.Method = "POST";
--- a/Source/Programs/zinnia-scenario/Mesh.h
+++ b/Source/Programs/zinnia-scenario/Mesh.h
@@ -54,6 +54,10 @@
 
   // Exit code and output of zinniactl with the log's address.
   std::pair<int, std::string> control(const std::vector<std::string> &Words);
+  // Exit code and output of zinnia-burn over all nodes, for objectives of 99.9%
+  // by name and service.
+  std::pair<int, std::string>
+  burn(const std::map<std::string, std::string> &Services);
   void setLogFaults(const std::string &Ini);
   void setServerFaults(const std::string &Name, const std::string &Ini);
   NodeStatus status(const std::string &Name);
@@ -74,6 +78,7 @@
   int freePort();
   Process &find(const std::string &Name);
   void launch(const std::string &Name, std::vector<std::string> Words);
+  std::pair<int, std::string> runToEnd(const std::vector<std::string> &Words);
   void postFaults(int Port, const std::string &Ini);
   std::string fetch(int Port, const std::string &Path);
   const NodePorts &portsOf(const std::string &Node) const;
--- a/Source/Programs/zinnia-scenario/Words.cpp
+++ b/Source/Programs/zinnia-scenario/Words.cpp
@@ -131,6 +131,17 @@
   return 2;
 }
 
+int burn(lua_State *Lua, Mesh &Running) {
+  luaL_checktype(Lua, 1, LUA_TTABLE);
+  std::map<std::string, std::string> Services;
+  for (lua_pushnil(Lua); lua_next(Lua, 1) != 0; lua_pop(Lua, 1))
+    Services[luaL_checkstring(Lua, -2)] = luaL_checkstring(Lua, -1);
+  const auto [Code, Output] = Running.burn(Services);
+  lua_pushinteger(Lua, Code);
+  lua_pushstring(Lua, Output.c_str());
+  return 2;
+}
+
 int logFaults(lua_State *Lua, Mesh &Running) {
   Running.setLogFaults(text(Lua, 1));
   return 0;
@@ -236,6 +247,8 @@
     {"ended", guarded<hasEnded>, "ended(NAME): whether the process ended"},
     {"exit_code", guarded<exitCode>, "exit_code(NAME)"},
     {"zinniactl", guarded<control>, "zinniactl(WORD...): exit code and output"},
+    {"burn", guarded<burn>,
+     "burn({OBJECTIVE = SERVICE}): exit code and output of zinnia-burn"},
     {"log_faults", guarded<logFaults>,
      "log_faults('outage = yes'): see zinnia-standin-log"},
     {"server_faults", guarded<serverFaults>,
