Ask seeds of the own data centre, and rank by one rendezvous hash

The status pages showed nodes that knew none of their own data centre. A starting node asks one seed of the list for members, and again after 1.5 s. With a seed in each of two data centres it can ask the other one's seed both times; that one tells only its own members and takes no news of the asker, so the node stays alone for good. Ruled out: lost announcements (the nodes that were known told theirs) and the digests (a node without neighbours sends none).

A node now remembers which seeds answered from another data centre and goes on asking until one of its own has.

Besides, three modules had a rendezvous hash each, two of them their own FNV, and there were two wrappers of xxhash. Common/Rendezvous and Common/Hash serve all. Keys begin with a role, so that one node does not become reader, batcher and representative of its data centre at once.

--- a/Source/Core/Config/Checkpoint.cpp
+++ b/Source/Core/Config/Checkpoint.cpp
@@ -1,9 +1,8 @@
 #include "Config/Checkpoint.h"
+#include "Common/Hash.h"
 
 #include <algorithm>
 
-#include "Config/Hash.h"
-
 namespace Config {
 
 using Common::ResultCode;
@@ -35,7 +34,7 @@
   Part.Number = Current.Number;
   Part.Level = Current.Level;
   Part.Count = static_cast<int>((Text.size() + ChunkBytes - 1) / ChunkBytes);
-  Part.WholeHash = hashOf(Text);
+  Part.WholeHash = Common::hashOf(Text);
   for (; Part.Index < Part.Count; ++Part.Index) {
     Part.Content = Text.substr(Part.Index * ChunkBytes, ChunkBytes);
     Result.push_back(Part);
@@ -72,7 +71,7 @@
   Checkpoint Whole;
   for (const auto &[Index, Content] : Done.Parts)
     Whole.SetText += Content;
-  if (hashOf(Whole.SetText) != Done.First.WholeHash)
+  if (Common::hashOf(Whole.SetText) != Done.First.WholeHash)
     return ResultCode::CheckpointDamaged;
   Whole.Offset = Done.First.Offset;
   Whole.Number = Done.First.Number;
--- a/Source/Core/Config/ReaderElection.cpp
+++ b/Source/Core/Config/ReaderElection.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 
-#include "Config/Hash.h"
+#include "Common/Rendezvous.h"
 
 namespace Config {
 
@@ -11,21 +11,6 @@
 
 constexpr std::size_t StandbyCount = 3;
 
-// Best first.
-std::vector<std::string> ranked(const std::set<std::string> &Names,
-                                const std::string &Key) {
-  std::vector<std::pair<std::uint64_t, std::string>> Weights;
-  Weights.reserve(Names.size());
-  for (const std::string &Each : Names)
-    Weights.emplace_back(hashOf(Each, hashOf(Key)), Each);
-  std::sort(Weights.rbegin(), Weights.rend());
-  std::vector<std::string> Result;
-  Result.reserve(Weights.size());
-  for (auto &[Weight, Name] : Weights)
-    Result.push_back(std::move(Name));
-  return Result;
-}
-
 } // namespace
 
 ReaderElection::ReaderElection(std::string Node, std::string DataCentre,
@@ -46,7 +31,8 @@
   const std::size_t RankBefore = Rank;
   Ranks.clear();
   Standbys.clear();
-  for (const std::string &Each : ranked(Names, DataCentre)) {
+  for (const std::string &Each : Common::rankByRendezvous(
+           "reader/" + DataCentre, {Names.begin(), Names.end()})) {
     const std::size_t Position = Ranks.size();
     Ranks.emplace(Each, Position);
     if (Each == Node)
@@ -54,7 +40,8 @@
     else if (Ranks.contains(Node) && Standbys.size() < StandbyCount)
       Standbys.push_back(Each);
   }
-  const std::vector<std::string> Centres = ranked(DataCentres, "");
+  const std::vector<std::string> Centres = Common::rankByRendezvous(
+      "checkpoints", {DataCentres.begin(), DataCentres.end()});
   DataCentreRank = static_cast<std::size_t>(
       std::find(Centres.begin(), Centres.end(), DataCentre) - Centres.begin());
   // A new better rank gets its time to be heard.
--- a/Source/Core/Config/Spreader.cpp
+++ b/Source/Core/Config/Spreader.cpp
@@ -1,8 +1,8 @@
 #include "Config/Spreader.h"
+#include "Common/Hash.h"
 
 #include <algorithm>
 
-#include "Config/Hash.h"
 #include "Config/ObjectSetBuilder.h"
 
 namespace Config {
@@ -167,7 +167,7 @@
   if (!Builder.faults().empty())
     return nullptr;
   ObjectSetPtr Set = Builder.build();
-  return hashOf(Set->canonicalText()) == Part.Hash ? Set : nullptr;
+  return Common::hashOf(Set->canonicalText()) == Part.Hash ? Set : nullptr;
 }
 
 SpreadActions Spreader::settle() {
@@ -360,7 +360,7 @@
   Result.Node = Given.Node;
   Result.Number = Current.Number;
   Result.Level = Current.Level;
-  Result.Hash = hashOf(Kept.back().Text);
+  Result.Hash = Common::hashOf(Kept.back().Text);
   Result.Content.Changed = Kept.back().Text;
   if (!Base)
     return Result;
--- a/Source/Core/Membership/MemberTable.cpp
+++ b/Source/Core/Membership/MemberTable.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "Common/Rendezvous.h"
 #include "Membership/Rendezvous.h"
 
 namespace Membership {
@@ -177,9 +178,9 @@
 
 std::uint64_t MemberTable::digest() const {
   const auto WeightOf = [](const Member &Each) {
-    return isLive(Each)
-               ? rendezvousWeight(Each.Node, std::to_string(Each.Incarnation))
-               : 0;
+    return isLive(Each) ? Common::rendezvousWeight(
+                              Each.Node, std::to_string(Each.Incarnation))
+                        : 0;
   };
   std::uint64_t Result = WeightOf(Self);
   for (const auto &[Name, Each] : Others)
--- a/Source/Core/Membership/Prober.cpp
+++ b/Source/Core/Membership/Prober.cpp
@@ -189,12 +189,26 @@
 void Prober::fetchList(Common::SteadyTime Now) {
   if (RefetchAt && Now >= *RefetchAt) {
     RefetchAt.reset();
-    Fetch.begin(Options.Seeds, false, Now);
+    const std::vector<Place> Home = homeSeeds();
+    Fetch.begin(Home.empty() ? Options.Seeds : Home, !Joined, Now);
   }
   if (const auto Asked = Fetch.due(Now))
     send(Asked->first, Asked->second, {Table.self()});
 }
 
+bool Prober::isForeignSeed(const Place &Where) const {
+  return std::find(ForeignSeeds.begin(), ForeignSeeds.end(), Where) !=
+         ForeignSeeds.end();
+}
+
+// The seeds that are not known to be of another data centre.
+std::vector<Place> Prober::homeSeeds() const {
+  std::vector<Place> Result = Options.Seeds;
+  std::erase_if(Result,
+                [this](const Place &Each) { return isForeignSeed(Each); });
+  return Result;
+}
+
 // A node that missed an update sees it by the digests and fetches the list.
 void Prober::compareDigest(const Datagram &Heard, Common::SteadyTime Now) {
   if (Heard.DataCentre != Table.self().DataCentre || Heard.Digest == Digest ||
@@ -258,9 +272,13 @@
 void Prober::answer(const Datagram &Heard, const ListPiece &Body,
                     Common::SteadyTime Now) {
   Fetch.take(Body, Heard.ReplyTo, Now);
+  const bool FromHome = Heard.DataCentre == Table.self().DataCentre;
+  if (!FromHome && !isForeignSeed(Heard.ReplyTo))
+    ForeignSeeds.push_back(Heard.ReplyTo);
   if (Body.IsLast && !Joined) {
-    Joined = true;
-    RefetchAt = Now + JoinSettleTime;
+    // Another data centre's seed knows no neighbour of this node.
+    Joined = FromHome || homeSeeds().empty();
+    RefetchAt = Joined ? Now + JoinSettleTime : Now;
   }
   fetchList(Now);
 }
--- a/Source/Core/Membership/Prober.h
+++ b/Source/Core/Membership/Prober.h
@@ -68,6 +68,8 @@
   void askOthers();
   void gossip();
   void summarise(Common::SteadyTime Now);
+  bool isForeignSeed(const Place &Where) const;
+  std::vector<Place> homeSeeds() const;
   void fetchList(Common::SteadyTime Now);
   void compareDigest(const Datagram &Heard, Common::SteadyTime Now);
 
@@ -105,6 +107,8 @@
   std::int64_t Probes = 0;
   std::uint64_t Digest = 0;
   bool Started = false;
+  // Seeds that answered from another data centre.
+  std::vector<Place> ForeignSeeds;
   bool Joined = false;
   std::optional<Common::SteadyTime> RefetchAt;
   Common::SteadyTime LastTick;
--- a/Source/Core/Membership/Rendezvous.cpp
+++ b/Source/Core/Membership/Rendezvous.cpp
@@ -3,35 +3,20 @@
 #include <algorithm>
 #include <map>
 
+#include "Common/Rendezvous.h"
 #include "Membership/MemberTable.h"
 
 namespace Membership {
 
 namespace {
 
-constexpr std::uint64_t FnvBasis = 14695981039346656037ULL;
-constexpr std::uint64_t FnvPrime = 1099511628211ULL;
-
-std::uint64_t addBytes(std::uint64_t Hash, std::string_view Bytes) {
-  for (const char Each : Bytes)
-    Hash = (Hash ^ static_cast<unsigned char>(Each)) * FnvPrime;
-  return Hash;
-}
-
-// Names that differ in the last byte alone must get unrelated weights.
-std::uint64_t mix(std::uint64_t Hash) {
-  Hash = (Hash ^ (Hash >> 33)) * 0xff51afd7ed558ccdULL;
-  Hash = (Hash ^ (Hash >> 33)) * 0xc4ceb9fe1a85ec53ULL;
-  return Hash ^ (Hash >> 33);
-}
-
 std::vector<const Member *> heaviest(std::vector<const Member *> Members,
                                      const std::string &Key,
                                      std::size_t Count) {
   std::vector<std::pair<std::uint64_t, const Member *>> Weighed;
   Weighed.reserve(Members.size());
   for (const Member *Each : Members)
-    Weighed.emplace_back(rendezvousWeight(Key, Each->Node), Each);
+    Weighed.emplace_back(Common::rendezvousWeight(Key, Each->Node), Each);
   std::sort(Weighed.begin(), Weighed.end(),
             [](const auto &Left, const auto &Right) {
               return Left.first > Right.first;
@@ -53,15 +38,10 @@
 
 } // namespace
 
-std::uint64_t rendezvousWeight(std::string_view Key, std::string_view Node) {
-  const std::string_view Separator("\0", 1);
-  return mix(addBytes(addBytes(addBytes(FnvBasis, Key), Separator), Node));
-}
-
 std::vector<const Member *>
 representatives(const std::vector<const Member *> &Members,
                 const std::string &DataCentre) {
-  return heaviest(liveIn(Members, DataCentre), DataCentre,
+  return heaviest(liveIn(Members, DataCentre), "summary/" + DataCentre,
                   RepresentativesPerDataCentre);
 }
 
--- a/Source/Core/Membership/Rendezvous.h
+++ b/Source/Core/Membership/Rendezvous.h
@@ -13,9 +13,6 @@
 constexpr std::size_t RepresentativesPerDataCentre = 2;
 constexpr std::size_t EndpointsPerService = 8;
 
-// The weight of a node for a key; equal on every machine and release.
-std::uint64_t rendezvousWeight(std::string_view Key, std::string_view Node);
-
 // The live members of a data centre that speak for it to others, by
 // their weights. Nodes with equal tables choose alike.
 std::vector<const Member *>
--- a/Source/Core/Node/ClaimedCall.cpp
+++ b/Source/Core/Node/ClaimedCall.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "Wire/Compression.h"
+#include "Common/Hash.h"
 
 namespace Node {
 
@@ -45,9 +45,9 @@
 
 std::uint64_t fingerprintOf(const Routing::CallStart &Start) {
   // The lengths keep the parts apart.
-  return Wire::hashOf(std::to_string(Start.Method.size()) + ' ' +
-                      std::to_string(Start.Target.size()) + ' ' + Start.Method +
-                      Start.Target + Start.Body);
+  return Common::hashOf(std::to_string(Start.Method.size()) + ' ' +
+                        std::to_string(Start.Target.size()) + ' ' +
+                        Start.Method + Start.Target + Start.Body);
 }
 
 Once::Outcome toOutcome(const Routing::CallReply &Reply,
--- a/Source/Core/Node/ClaimsService.h
+++ b/Source/Core/Node/ClaimsService.h
@@ -12,6 +12,7 @@
 #include <spdlog/spdlog.h>
 
 #include "Common/Error.h"
+#include "Common/Rendezvous.h"
 #include "Http/Client.h"
 #include "Kernel/Host.h"
 #include "Node/ClaimedCall.h"
@@ -19,7 +20,6 @@
 #include "Node/NodeSettings.h"
 #include "Once/ClaimBatcher.h"
 #include "Once/ClaimGate.h"
-#include "Once/Ranking.h"
 #include "Platform/LogClient.h"
 #include "Wire/OnceCodec.h"
 
@@ -117,8 +117,8 @@
       Addresses[Each.Node] =
           Each.Address + ":" + std::to_string(Each.ControlPort);
     }
-    std::vector<std::string> Order =
-        Once::rankNodes(Settings.DataCentre, std::move(Names));
+    std::vector<std::string> Order = Common::rankByRendezvous(
+        "claims/" + Settings.DataCentre, std::move(Names));
     if (Order == Ranked)
       return;
     Ranked = std::move(Order);
--- a/Source/Core/Wire/Codec.cpp
+++ b/Source/Core/Wire/Codec.cpp
@@ -1,6 +1,7 @@
 #include "Wire/Codec.h"
 
 #include "Common/Error.h"
+#include "Common/Hash.h"
 #include "Wire/CompactBytes.h"
 #include "Wire/Compression.h"
 #include "Zinnia_types.h"
@@ -159,7 +160,7 @@
   Result.Author = Content.Author;
   Result.Note = Content.Note;
   Result.CompressedSet = compress(Content.SetText);
-  Result.Hash = static_cast<std::int64_t>(hashOf(Content.SetText));
+  Result.Hash = static_cast<std::int64_t>(Common::hashOf(Content.SetText));
   return packCompact(Result);
 }
 
@@ -177,7 +178,7 @@
   } catch (const Error &Failure) {
     throw Error(ResultCode::RecordMalformed, Failure.what());
   }
-  if (static_cast<std::int64_t>(hashOf(Result.SetText)) != Decoded.Hash)
+  if (static_cast<std::int64_t>(Common::hashOf(Result.SetText)) != Decoded.Hash)
     throw Error(ResultCode::RecordMalformed, "hash of the set is wrong");
   return Result;
 }
--- a/Source/Core/Wire/Compression.cpp
+++ b/Source/Core/Wire/Compression.cpp
@@ -1,6 +1,5 @@
 #include "Wire/Compression.h"
 
-#include <xxhash.h>
 #include <zstd.h>
 
 #include "Common/Error.h"
@@ -41,8 +40,4 @@
   return Plain;
 }
 
-std::uint64_t hashOf(std::string_view Bytes) {
-  return XXH3_64bits(Bytes.data(), Bytes.size());
-}
-
 } // namespace Wire
--- a/Source/Core/Wire/Compression.h
+++ b/Source/Core/Wire/Compression.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -9,6 +8,5 @@
 std::string compress(std::string_view Plain);
 // Throws FrameMalformed for damaged input or output over Limit bytes.
 std::string decompress(std::string_view Packed, std::size_t Limit);
-std::uint64_t hashOf(std::string_view Bytes);
 
 } // namespace Wire
--- a/Source/Core/Wire/ConfigCodec.cpp
+++ b/Source/Core/Wire/ConfigCodec.cpp
@@ -1,5 +1,6 @@
 #include "Wire/ConfigCodec.h"
 
+#include "Common/Hash.h"
 #include "Config_types.h"
 #include "Wire/CompactBytes.h"
 #include "Wire/Compression.h"
@@ -100,7 +101,7 @@
   Part.Count = Content.Count;
   Part.WholeHash = static_cast<std::int64_t>(Content.WholeHash);
   Part.CompressedContent = compress(Content.Content);
-  Part.Hash = static_cast<std::int64_t>(hashOf(Content.Content));
+  Part.Hash = static_cast<std::int64_t>(Common::hashOf(Content.Content));
   return packCompact(Part);
 }
 
@@ -120,7 +121,7 @@
   } catch (const Error &Failure) {
     throw Error(ResultCode::CheckpointDamaged, Failure.what());
   }
-  if (static_cast<std::int64_t>(hashOf(Result.Content)) != Decoded.Hash)
+  if (static_cast<std::int64_t>(Common::hashOf(Result.Content)) != Decoded.Hash)
     throw Error(ResultCode::CheckpointDamaged, "hash of a chunk is wrong");
   return Result;
 }
--- a/Source/UnitTests/Config/SpreaderTests.cpp
+++ b/Source/UnitTests/Config/SpreaderTests.cpp
@@ -4,7 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "Config/Hash.h"
+#include "Common/Hash.h"
 #include "Config/ObjectSetBuilder.h"
 #include "Config/Spreader.h"
 
@@ -47,7 +47,7 @@
     Options.Node = Name;
     Options.DataCentre = DataCentre;
     Options.MaxFlights = MaxFlights;
-    Options.Seed = hashOf(Name);
+    Options.Seed = Common::hashOf(Name);
     Nodes[Name].DataCentre = DataCentre;
     Nodes[Name].Tested = std::make_unique<Spreader>(Options, Now);
   }
@@ -204,7 +204,7 @@
   Result.Node = "b";
   Result.Number = Number;
   Result.Content.Changed = Text;
-  Result.Hash = hashOf(Text);
+  Result.Hash = Common::hashOf(Text);
   return Result;
 }
 
--- a/Source/UnitTests/Membership/ProberTests.cpp
+++ b/Source/UnitTests/Membership/ProberTests.cpp
@@ -170,6 +170,34 @@
   BOOST_TEST(Nodes.allKnow(40));
 }
 
+// With one seed in each data centre, a node that asked the other one's seed
+// each time heard of no neighbour, and nobody heard of it.
+BOOST_AUTO_TEST_CASE(NodesFindTheirNeighboursWhicheverSeedTheyAskFirst) {
+  const std::vector<Place> Seeds = {{Fleet::name(0, "a"), 7},
+                                    {Fleet::name(0, "b"), 7}};
+  const std::vector<std::string> Centres = {"a", "b"};
+  for (std::uint64_t Seed = 1; Seed <= 30; ++Seed) {
+    Fleet Nodes(Seed);
+    for (const std::string &Centre : Centres)
+      for (int I = 0; I < 3; ++I)
+        Nodes.add(Fleet::name(I, Centre), Centre, Seeds);
+    for (const std::string &Centre : Centres)
+      for (int I = 0; I < 3; ++I)
+        Nodes[Fleet::name(I, Centre)].announce(
+            {"s", Fleet::name(I, Centre), 6, false});
+    const auto Servers = [&](const std::string &Node) {
+      const auto View = Nodes[Node].table().servers();
+      const auto Found = View->ByService.find("s");
+      return Found == View->ByService.end() ? 0 : Found->second.size();
+    };
+    Nodes.run(Millis(15'000));
+    for (const std::string &Centre : Centres)
+      for (int I = 0; I < 3; ++I)
+        BOOST_TEST(Servers(Fleet::name(I, Centre)) == 6,
+                   "seed " << Seed << ", " << Fleet::name(I, Centre));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DataCentresHearOfABoundedNumberOfEndpoints) {
   Fleet Nodes(17);
   Nodes.addMany(30, "a");
--- a/Source/UnitTests/Once/ClaimBatcherTests.cpp
+++ b/Source/UnitTests/Once/ClaimBatcherTests.cpp
@@ -1,8 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
+#include "Common/Rendezvous.h"
 #include "Once/ClaimBatcher.h"
 #include "Once/ClaimGate.h"
-#include "Once/Ranking.h"
 
 BOOST_AUTO_TEST_SUITE(ClaimBatchers)
 
@@ -144,11 +144,12 @@
 }
 
 BOOST_AUTO_TEST_CASE(ranksMoveOnlyWhatALostNodeHad) {
-  const std::vector<std::string> All = rankNodes("d", {"a", "b", "c", "e"});
+  const std::vector<std::string> All =
+      Common::rankByRendezvous("d", {"a", "b", "c", "e"});
   std::vector<std::string> Fewer = All;
   Fewer.erase(Fewer.begin());
-  BOOST_TEST(rankNodes("d", {"e", "c", "b", "a"}) == All);
-  BOOST_TEST(rankNodes("d", Fewer) == Fewer);
+  BOOST_TEST(Common::rankByRendezvous("d", {"e", "c", "b", "a"}) == All);
+  BOOST_TEST(Common::rankByRendezvous("d", Fewer) == Fewer);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
