--- a/Source/Core/Wire/Generated/Zinnia_types.h
+++ b/Source/Core/Wire/Generated/Zinnia_types.h
@@ -41,8 +41,6 @@
 
 class MemberState;
 
-class Datagram;
-
 typedef struct _Hello__isset {
   _Hello__isset() : Node(false), DataCentre(false), ProtocolLevel(false) {}
   bool Node :1;
@@ -826,55 +824,6 @@
 
 std::ostream& operator<<(std::ostream& out, const MemberState& obj);
 
-typedef struct _Datagram__isset {
-  _Datagram__isset() : From(false), Members(false) {}
-  bool From :1;
-  bool Members :1;
-} _Datagram__isset;
-
-class Datagram : public virtual ::apache::thrift::TBase {
- public:
-
-  Datagram(const Datagram&);
-  Datagram& operator=(const Datagram&);
-  Datagram() noexcept
-           : From() {
-  }
-
-  virtual ~Datagram() noexcept;
-  std::string From;
-  std::vector<MemberState>  Members;
-
-  _Datagram__isset __isset;
-
-  void __set_From(const std::string& val);
-
-  void __set_Members(const std::vector<MemberState> & val);
-
-  bool operator == (const Datagram & rhs) const
-  {
-    if (!(From == rhs.From))
-      return false;
-    if (!(Members == rhs.Members))
-      return false;
-    return true;
-  }
-  bool operator != (const Datagram &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const Datagram & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(Datagram &a, Datagram &b);
-
-std::ostream& operator<<(std::ostream& out, const Datagram& obj);
-
 }} // namespace
 
 #endif
--- a/Source/Core/Wire/Zinnia.thrift
+++ b/Source/Core/Wire/Zinnia.thrift
@@ -1,5 +1,6 @@
 // Messages between the system's own processes. Peers exchange Frame over TCP
-// (four length bytes, big-endian, then compact protocol) and Datagram over UDP.
+// (four length bytes, big-endian, then compact protocol). Datagrams are in
+// Members.thrift.
 namespace cpp Wire.Generated
 
 struct Hello {
@@ -94,8 +95,3 @@
   9: list<EndpointState> Endpoints,
   10: i64 ConfigVersion,
 }
-
-struct Datagram {
-  1: string From,
-  2: list<MemberState> Members,
-}
