--- a/Source/Core/Admission/SlotQueue.h
+++ b/Source/Core/Admission/SlotQueue.h
@@ -109,9 +109,13 @@
 template <WaitingOrder Order>
 Routing::ServerLoad SlotQueue<Order>::load() const {
   const int Lacking = Slots.announced() - Slots.usable();
-  return {.Queued = static_cast<int>(Waiting.size()),
-          .BusySlots = static_cast<int>(Running.size()) + Lacking,
-          .Slots = Slots.announced()};
+  Routing::ServerLoad Result;
+  Result.Queued = static_cast<int>(Waiting.size());
+  Result.BusySlots = static_cast<int>(Running.size()) + Lacking;
+  Result.Slots = Slots.announced();
+  if constexpr (requires { Waiting.slotTime(); })
+    Result.SlotTime = Waiting.slotTime();
+  return Result;
 }
 
 } // namespace Admission
--- a/Source/Core/Admission/Ticket.h
+++ b/Source/Core/Admission/Ticket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -20,7 +21,13 @@
   std::string Caller;
   std::string Kind;
   // Set by the queue.
-  Common::SteadyTime Arrived;
+  Common::SteadyTime Arrived = {};
+  // 0 is served first.
+  int Priority = 0;
+  // Until then the answer is worth most.
+  Common::SteadyTime Target = {};
+  // A longer wait than this is refused at once.
+  std::optional<Common::Micros> WaitLimit = {};
 };
 
 struct RunningCall {
--- /dev/null
+++ b/Source/Core/Admission/ValueOrder.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <vector>
+
+#include "Admission/ServiceTimes.h"
+#include "Admission/WaitingOrder.h"
+
+namespace Admission {
+
+// Serves by what an answer is still worth: the most urgent kinds first, within
+// a kind the calls that can still meet their latency target, the earliest
+// target first; calls that missed theirs take what room is left. A call that
+// cannot end by its deadline is refused at once.
+//
+// Load pattern: demand above capacity for seconds. In order of arrival every
+// call would wait until just past its target, and hardly any answer would be
+// worth much; here those that cannot make it give way to those that can.
+class ValueOrder {
+public:
+  void add(const Ticket &Call, const SlotUse &Use, Common::SteadyTime Now,
+           AdmissionActions &Actions);
+  std::optional<Ticket> takeNext(const SlotUse &Use, Common::SteadyTime Now);
+  bool withdraw(TicketId Id);
+  void expire(Common::SteadyTime Now, AdmissionActions &Actions);
+  void refuseAll(Common::ResultCode Code, AdmissionActions &Actions);
+  void learn(const Ticket &Call, Common::Micros Took, Ending How);
+  std::size_t size() const { return Waiting.size(); }
+  Common::Micros slotTime() const { return Mean; }
+
+private:
+  Common::Micros usualTime(const Ticket &Call) const;
+  bool meetsTarget(const Ticket &Call, Common::SteadyTime Now) const;
+  bool precedes(const Ticket &Left, const Ticket &Right,
+                Common::SteadyTime Now) const;
+  Common::Micros expectedWait(const Ticket &Call, const SlotUse &Use,
+                              Common::SteadyTime Now) const;
+
+  std::vector<Ticket> Waiting;
+  ServiceTimes Times;
+  // Mean time that calls of all kinds hold a slot.
+  Common::Micros Mean{0};
+};
+
+static_assert(WaitingOrder<ValueOrder>);
+
+} // namespace Admission
--- a/Source/Core/Common/ResultCode.h
+++ b/Source/Core/Common/ResultCode.h
@@ -30,6 +30,8 @@
   KeyReusedWithOtherBody = 114,
   ClaimUnavailable = 115,
   ClaimsNotYetKnown = 116,
+  WouldWait = 117,
+  CallerGone = 118,
 
   // 2xx: the outcome of the call is unknown, or it is another's.
   OutcomeUnknown = 200,
@@ -79,6 +81,8 @@
   LogOffsetExpired = 602,
   LogMalformedAnswer = 603,
   NodeUnreachable = 604,
+  HeartbeatMalformed = 605,
+  HeartbeatStale = 606,
 
   // 7xx: the system itself.
   MailboxFull = 700,
--- a/Source/Core/Config/ObjectSet.h
+++ b/Source/Core/Config/ObjectSet.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <vector>
 
 #include "Common/Time.h"
 
@@ -18,6 +22,8 @@
   std::string Name;
   // Serves the calls when no server of this service is live; may be empty.
   std::string Fallback;
+  // Where its servers tell their health over HTTP; may be empty.
+  std::string HealthPath;
 };
 
 struct RetryRule {
@@ -27,6 +33,9 @@
   int BudgetPercent = 10;
   // When a second attempt starts beside the first.
   std::optional<Common::Micros> HedgeAfter;
+  // How often a call may go on to another node that this one's refused before
+  // anything reached a backend server. These tries cost no attempt.
+  int Redirects = 0;
 };
 
 struct RequestKind {
@@ -34,19 +43,49 @@
   bool LongLane = false;
   bool Idempotent = true;
   Common::Micros Deadline{1'000'000};
+  // An answer within this time is worth most to the caller; 0 when it isn't
+  // stated.
+  Common::Micros TargetLatency{0};
+  // Time beyond the deadline that an attempt in flight has to come back with
+  // what its server says itself, which tells more than our own time-out.
+  Common::Micros AnswerSlack{0};
+  // 0 is served first when there is too little room.
+  int Priority = 0;
+  // Whether a call that must not run twice is claimed by its key first.
+  bool NeedsKey = false;
   std::string Retry;
 };
 
+// One part of a route whose calls are shared among services.
+struct WeightedService {
+  std::string Service;
+  int Weight = 1;
+
+  bool operator==(const WeightedService &) const = default;
+};
+
 struct Route {
   std::string Name;
   // Matches a path that starts with it; the longest prefix wins.
   std::string Prefix;
   // Empty matches every method.
   std::string Method;
+  // Empty matches every host.
+  std::string Host;
+  // Empty when the calls are shared by Split.
   std::string Service;
+  std::vector<WeightedService> Split;
   std::string Kind;
 };
 
+// What callers may send, and how long they may take or stay idle.
+struct CallerLimits {
+  std::size_t HeaderBytes = 0;
+  std::size_t BodyBytes = 0;
+  Common::Micros HeaderTime{0};
+  Common::Micros IdleTime{0};
+};
+
 // One checked, unchangeable set of named objects.
 class ObjectSet {
 public:
@@ -57,8 +96,12 @@
   const std::map<std::string, RequestKind> &kinds() const { return Kinds; }
   const std::map<std::string, Route> &routes() const { return Routes; }
 
+  // Empty when the node's own settings hold.
+  const std::optional<CallerLimits> &callerLimits() const { return Limits; }
+
   // The most specific route, or null.
-  const Route *findRoute(std::string_view Method, std::string_view Path) const;
+  const Route *findRoute(std::string_view Host, std::string_view Method,
+                         std::string_view Path) const;
 
   // The same set always gives the same text.
   std::string canonicalText() const;
@@ -69,6 +112,20 @@
   std::map<std::string, RetryRule> RetryRules;
   std::map<std::string, RequestKind> Kinds;
   std::map<std::string, Route> Routes;
+  std::optional<CallerLimits> Limits;
+
+  // The routes of one host by prefix. A set may hold thousands of routes, and
+  // prefixes have few lengths.
+  struct HostIndex {
+    std::unordered_map<std::string, std::vector<std::string>> NamesByPrefix;
+    std::set<std::size_t, std::greater<>> Lengths;
+  };
+
+  void buildIndex();
+  const Route *findIn(const HostIndex &Index, std::string_view Method,
+                      std::string_view Path) const;
+
+  std::unordered_map<std::string, HostIndex> Hosts;
 };
 
 using ObjectSetPtr = std::shared_ptr<const ObjectSet>;
--- a/Source/Core/Config/ObjectSetBuilder.cpp
+++ b/Source/Core/Config/ObjectSetBuilder.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <optional>
 #include <set>
+#include <sstream>
+#include <tuple>
 
 #include "Common/Error.h"
 
@@ -14,7 +16,10 @@
 namespace {
 
 constexpr int MaxAttempts = 10;
+constexpr int MaxRedirects = 10;
 constexpr int MaxBudgetPercent = 100;
+constexpr int MaxPriority = 1000;
+constexpr int MaxWeight = 1'000'000;
 constexpr Common::Micros MaxDeadline{3'600'000'000};
 
 bool isName(const std::string &Text) {
@@ -77,6 +82,26 @@
     return Value;
   }
 
+  // "name:weight" parts, separated by spaces.
+  std::vector<WeightedService> weights(const std::string &Key) {
+    const Common::IniEntry *Entry = find(Key, false);
+    std::vector<WeightedService> Parts;
+    std::istringstream Words(Entry ? Entry->Value : "");
+    for (std::string Word; Words >> Word;) {
+      const std::size_t Colon = Word.find(':');
+      const std::string Number =
+          Colon == std::string::npos ? "" : Word.substr(Colon + 1);
+      WeightedService Part{Word.substr(0, Colon), -1};
+      std::from_chars(Number.data(), Number.data() + Number.size(),
+                      Part.Weight);
+      if (!isName(Part.Service) || Part.Weight < 0 || Part.Weight > MaxWeight)
+        bad(*Entry, "service:weight parts with weights up to " +
+                        std::to_string(MaxWeight));
+      Parts.push_back(std::move(Part));
+    }
+    return Parts;
+  }
+
   std::optional<Common::Micros> time(const std::string &Key, bool Required) {
     const Common::IniEntry *Entry = find(Key, Required);
     if (!Entry)
@@ -138,6 +163,44 @@
   return *this;
 }
 
+ObjectSetBuilder &ObjectSetBuilder::origin(std::string Given) {
+  Origin = std::move(Given);
+  return *this;
+}
+
+template <class Object>
+ObjectSetBuilder &
+ObjectSetBuilder::addTyped(const std::string &Type,
+                           std::map<std::string, Object> &Among, Object Given) {
+  const std::string Key = Type + " " + Given.Name;
+  if (Places.emplace(Key, Place{Origin, 0}).second)
+    Among[Given.Name] = std::move(Given);
+  else
+    addFault(ResultCode::ObjectDuplicate, Key, "is defined twice");
+  return *this;
+}
+
+ObjectSetBuilder &ObjectSetBuilder::add(Service Given) {
+  return addTyped("service", Result.Services, std::move(Given));
+}
+
+ObjectSetBuilder &ObjectSetBuilder::add(RetryRule Given) {
+  return addTyped("retry", Result.RetryRules, std::move(Given));
+}
+
+ObjectSetBuilder &ObjectSetBuilder::add(RequestKind Given) {
+  return addTyped("kind", Result.Kinds, std::move(Given));
+}
+
+ObjectSetBuilder &ObjectSetBuilder::add(Route Given) {
+  return addTyped("route", Result.Routes, std::move(Given));
+}
+
+ObjectSetBuilder &ObjectSetBuilder::limits(const CallerLimits &Given) {
+  Result.Limits = Given;
+  return *this;
+}
+
 void ObjectSetBuilder::addFault(ResultCode Code, const std::string &Object,
                                 const std::string &Detail) {
   const Place &Where = Places[Object];
@@ -185,6 +248,7 @@
   Service Taken;
   Taken.Name = Name;
   Taken.Fallback = Keys.name("fallback", false);
+  Taken.HealthPath = Keys.text("health-path", false, "/");
   Keys.finish();
   Result.Services[Name] = Taken;
 }
@@ -198,6 +262,7 @@
   Taken.BudgetPercent =
       Keys.number("budget-percent", 0, MaxBudgetPercent, Taken.BudgetPercent);
   Taken.HedgeAfter = Keys.time("hedge-after", false);
+  Taken.Redirects = Keys.number("redirects", 0, MaxRedirects, Taken.Redirects);
   Keys.finish();
   Result.RetryRules[Name] = Taken;
 }
@@ -210,6 +275,10 @@
   Taken.LongLane = Keys.choice("lane", false, {"short", "long"}) == "long";
   Taken.Idempotent = Keys.choice("idempotent", true, {"yes", "no"}) == "yes";
   Taken.Deadline = Keys.time("deadline", true).value_or(Taken.Deadline);
+  Taken.TargetLatency =
+      Keys.time("target-latency", false).value_or(Taken.TargetLatency);
+  Taken.Priority = Keys.number("priority", 0, MaxPriority, Taken.Priority);
+  Taken.NeedsKey = !Taken.Idempotent;
   Taken.Retry = Keys.name("retry", true);
   Keys.finish();
   Result.Kinds[Name] = Taken;
@@ -225,7 +294,9 @@
       Keys.choice("method", false,
                   {"any", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"});
   Taken.Method = Method == "any" ? "" : Method;
-  Taken.Service = Keys.name("service", true);
+  Taken.Host = Keys.text("host", false, "");
+  Taken.Split = Keys.weights("split");
+  Taken.Service = Keys.name("service", Taken.Split.empty());
   Taken.Kind = Keys.name("kind", true);
   Keys.finish();
   Result.Routes[Name] = Taken;
@@ -244,6 +315,8 @@
     Need("kind " + Name, "retry", Each.Retry);
   for (const auto &[Name, Each] : Result.Routes) {
     Need("route " + Name, "service", Each.Service);
+    for (const WeightedService &Part : Each.Split)
+      Need("route " + Name, "service", Part.Service);
     Need("route " + Name, "kind", Each.Kind);
   }
 }
@@ -263,16 +336,33 @@
 }
 
 void ObjectSetBuilder::checkRouteConflicts() {
-  std::map<std::pair<std::string, std::string>, std::string> Owners;
+  std::map<std::tuple<std::string, std::string, std::string>, std::string>
+      Owners;
   for (const auto &[Name, Each] : Result.Routes) {
     const auto [Earlier, IsNew] =
-        Owners.emplace(std::pair(Each.Prefix, Each.Method), Name);
+        Owners.emplace(std::tuple(Each.Host, Each.Prefix, Each.Method), Name);
     if (!IsNew)
       addFault(ResultCode::ObjectConflict, "route " + Name,
                "matches the same requests as route " + Earlier->second);
   }
 }
 
+void ObjectSetBuilder::checkSplits() {
+  for (const auto &[Name, Each] : Result.Routes) {
+    if (Each.Split.empty())
+      continue;
+    std::int64_t Sum = 0;
+    for (const WeightedService &Part : Each.Split)
+      Sum += Part.Weight;
+    if (Sum <= 0)
+      addFault(ResultCode::ObjectBadValue, "route " + Name,
+               "split gives no service a weight above 0");
+    if (!Each.Service.empty())
+      addFault(ResultCode::ObjectConflict, "route " + Name,
+               "has both service and split");
+  }
+}
+
 void ObjectSetBuilder::check() {
   if (Checked)
     return;
@@ -282,6 +372,7 @@
   checkReferences();
   checkFallbackCycles();
   checkRouteConflicts();
+  checkSplits();
   if (Places.empty() && Faults.empty())
     Faults.push_back({ResultCode::SetEmpty, "set", 0, "no objects"});
   std::stable_sort(Faults.begin(), Faults.end(),
@@ -300,7 +391,9 @@
   check();
   if (!Faults.empty())
     throw Common::Error(Faults.front().Code, Faults.front().text());
-  return std::make_shared<const ObjectSet>(Result);
+  const auto Built = std::make_shared<ObjectSet>(Result);
+  Built->buildIndex();
+  return Built;
 }
 
 } // namespace Config
--- a/Source/Core/Config/ObjectSetBuilder.h
+++ b/Source/Core/Config/ObjectSetBuilder.h
@@ -14,6 +14,14 @@
 public:
   ObjectSetBuilder &input(const std::string &File, const std::string &Text);
 
+  // Objects that were read from another form; Origin names it in faults.
+  ObjectSetBuilder &origin(std::string Origin);
+  ObjectSetBuilder &add(Service Given);
+  ObjectSetBuilder &add(RetryRule Given);
+  ObjectSetBuilder &add(RequestKind Given);
+  ObjectSetBuilder &add(Route Given);
+  ObjectSetBuilder &limits(const CallerLimits &Given);
+
   // Every fault of the set, ordered by file and line.
   const std::vector<Common::Fault> &faults();
   // Throws an Error with the first fault if there is one.
@@ -25,6 +33,10 @@
     int Line = 0;
   };
 
+  template <class Object>
+  ObjectSetBuilder &addTyped(const std::string &Type,
+                             std::map<std::string, Object> &Among,
+                             Object Given);
   void check();
   void takeSection(const Common::IniSection &Section);
   void takeService(const std::string &Name, const Common::IniSection &Section);
@@ -35,6 +47,7 @@
   void checkReferences();
   void checkFallbackCycles();
   void checkRouteConflicts();
+  void checkSplits();
   void addFault(Common::ResultCode Code, const std::string &Object,
                 const std::string &Detail);
 
@@ -42,6 +55,7 @@
   std::vector<Common::Fault> Faults;
   // Where each object, such as "route prices", was defined.
   std::map<std::string, Place> Places;
+  std::string Origin = "set";
   ObjectSet Result;
   bool Checked = false;
 };
--- a/Source/Core/Kernel/Host.cpp
+++ b/Source/Core/Kernel/Host.cpp
@@ -1,5 +1,6 @@
 #include "Kernel/Host.h"
 
+#include <cerrno>
 #include <csignal>
 #include <future>
 #include <set>
@@ -12,11 +13,12 @@
 
 namespace {
 
-sigset_t stopSignals() {
+sigset_t handledSignals() {
   sigset_t Signals;
   sigemptyset(&Signals);
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
+  sigaddset(&Signals, SIGHUP);
   return Signals;
 }
 
@@ -55,11 +57,30 @@
   }
 }
 
-void Host::waitForStopSignal() {
-  const sigset_t Signals = stopSignals();
-  int Received = 0;
-  sigwait(&Signals, &Received);
-  spdlog::info("signal {}: stopping", Received);
+void Host::waitForStopSignal(const std::function<void()> &OnReload,
+                             const std::function<void()> &OnIdle,
+                             Common::Duration IdleInterval) {
+  const sigset_t Signals = handledSignals();
+  const auto Whole =
+      std::chrono::duration_cast<std::chrono::seconds>(IdleInterval);
+  timespec Limit = {};
+  Limit.tv_sec = Whole.count();
+  Limit.tv_nsec = (IdleInterval - Whole).count();
+  const bool HasLimit = IdleInterval > Common::Duration::zero();
+  for (;;) {
+    const int Received =
+        sigtimedwait(&Signals, nullptr, HasLimit ? &Limit : nullptr);
+    if (Received == SIGHUP) {
+      OnReload();
+    } else if (Received > 0) {
+      spdlog::info("event=stopping signal={}", Received);
+      return;
+    } else if (errno == EAGAIN) {
+      OnIdle();
+    } else if (errno != EINTR) {
+      Common::throwSystemError("waiting for a signal");
+    }
+  }
 }
 
 void Host::stop(Common::Duration Limit) {
@@ -88,7 +109,7 @@
 }
 
 HostBuilder::HostBuilder() : Result(new Host()) {
-  const sigset_t Signals = stopSignals();
+  const sigset_t Signals = handledSignals();
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   // A peer that went away shows as a failed write, not as a signal.
   std::signal(SIGPIPE, SIG_IGN);
--- a/Source/Core/Kernel/Host.h
+++ b/Source/Core/Kernel/Host.h
@@ -43,8 +43,12 @@
   // Starts everything. When a service fails to start, those that had started
   // are stopped and the failure is thrown on.
   void start();
-  // Waits for SIGTERM or SIGINT.
-  void waitForStopSignal();
+  // Waits for SIGTERM or SIGINT. Meanwhile OnReload is called at each SIGHUP,
+  // and OnIdle every IdleInterval if that is not zero.
+  void waitForStopSignal(
+      const std::function<void()> &OnReload = [] {},
+      const std::function<void()> &OnIdle = [] {},
+      Common::Duration IdleInterval = Common::Duration::zero());
   // Drains each service, for at most Limit in all, then stops them.
   void stop(Common::Duration Limit);
 
--- a/Source/Core/Kernel/Task.cpp
+++ b/Source/Core/Kernel/Task.cpp
@@ -1,5 +1,6 @@
 #include "Kernel/Task.h"
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 #include <future>
@@ -14,6 +15,7 @@
 #include <ace/Thread.h>
 #include <spdlog/spdlog.h>
 #include <sys/eventfd.h>
+#include <sys/resource.h>
 #include <sys/timerfd.h>
 #include <unistd.h>
 
@@ -27,7 +29,15 @@
 using Common::Duration;
 using Common::SteadyTime;
 
-constexpr std::size_t MaxSockets = 16384;
+// The most descriptors that a task watches, where the process may have as many.
+constexpr rlim_t MaxSockets = 16384;
+
+std::size_t socketLimit() {
+  rlimit Allowed = {};
+  if (::getrlimit(RLIMIT_NOFILE, &Allowed) < 0)
+    Common::throwSystemError("reading the limit of descriptors");
+  return static_cast<std::size_t>(std::min(Allowed.rlim_cur, MaxSockets));
+}
 
 // Wake-ups come by a descriptor of the task's own, and signals are blocked in
 // every thread, so neither the notification pipe nor the masking of signals
@@ -36,9 +46,12 @@
   constexpr bool Restart = true;
   constexpr int WithoutNotifyPipe = 1;
   constexpr int WithoutSignalMasks = 0;
-  return new ACE_Dev_Poll_Reactor(MaxSockets, Restart, nullptr, nullptr,
-                                  WithoutNotifyPipe, nullptr,
-                                  WithoutSignalMasks);
+  auto Result = std::make_unique<ACE_Dev_Poll_Reactor>(
+      socketLimit(), Restart, nullptr, nullptr, WithoutNotifyPipe, nullptr,
+      WithoutSignalMasks);
+  if (!Result->initialized())
+    Common::throwSystemError("opening a reactor");
+  return Result.release();
 }
 
 ACE_Reactor_Mask toMask(IoReadiness Interest) {
--- /dev/null
+++ b/Source/Core/Membership/AnnouncementGate.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "Common/ResultCode.h"
+#include "Common/Time.h"
+#include "Membership/Member.h"
+
+namespace Membership {
+
+// What a backend server says of itself to the node beside it.
+struct Announcement {
+  Endpoint Server;
+  // "IP:port" of its HTTP socket.
+  std::string Address;
+  // When this life of the server began. A server that starts again under its
+  // name is another one.
+  Common::WallTime Born;
+  // Grows with each announcement of one life.
+  std::int64_t Sequence = 0;
+};
+
+// Judges announcements that may come late, out of order or from an earlier
+// life. Leaving is final for one life, whatever arrives after it.
+class AnnouncementGate {
+public:
+  // Ok when it is the newest word on the server beside this node.
+  Common::ResultCode take(const Announcement &Heard);
+  // The server named says that it leaves.
+  bool leave(const std::string &Server);
+
+private:
+  std::string Server;
+  Common::WallTime Born;
+  std::int64_t Sequence = -1;
+  bool Left = false;
+};
+
+} // namespace Membership
--- a/Source/Core/Membership/Prober.cpp
+++ b/Source/Core/Membership/Prober.cpp
@@ -285,6 +285,16 @@
 
 void Prober::answer(const Datagram &, const Summary &, Common::SteadyTime) {}
 
+void Prober::addSeeds(const std::vector<Place> &Seeds, Common::SteadyTime Now) {
+  const Place Own{Table.self().Address, Table.self().MemberPort};
+  for (const Place &Each : Seeds)
+    if (Each != Own && std::find(Options.Seeds.begin(), Options.Seeds.end(),
+                                 Each) == Options.Seeds.end())
+      Options.Seeds.push_back(Each);
+  if (Started && !Joined)
+    Fetch.begin(Options.Seeds, true, Now);
+}
+
 void Prober::announce(const Endpoint &Server) {
   Table.announce(Server);
   tellSelf();
--- a/Source/Core/Membership/Prober.h
+++ b/Source/Core/Membership/Prober.h
@@ -37,6 +37,8 @@
   std::vector<Outgoing> tick(Common::SteadyTime Now);
   std::vector<Outgoing> take(const Datagram &Heard, Common::SteadyTime Now);
 
+  // Joins through these as well, if it has not joined yet.
+  void addSeeds(const std::vector<Place> &Seeds, Common::SteadyTime Now);
   void announce(const Endpoint &Server);
   void withdraw(const std::string &Server);
   void leave();
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -10,7 +10,7 @@
 #include "Admission/LaneOrder.h"
 #include "Admission/PauseWatch.h"
 #include "Admission/SlotQueue.h"
-#include "Http/Client.h"
+#include "Http/KeptClient.h"
 #include "Kernel/Host.h"
 #include "Node/CallResponse.h"
 #include "Node/Messages.h"
@@ -21,19 +21,20 @@
 // The far side of calls: admits them to the slots of the backend server beside
 // this node and passes them on over HTTP.
 template <Kernel::MessageSink<PeersMessage> Peers,
-          Admission::WaitingOrder Order = Admission::LaneOrder>
+          Admission::WaitingOrder Order = Admission::LaneOrder,
+          CallCodec Codec = OwnCallCodec>
 class BackendService {
 public:
   using Message = BackendMessage;
 
   BackendService(Kernel::Context Around, const NodeSettings &Settings,
-                 std::function<Peers()> FindPeers)
-      : Home(Around.Home), Settings(Settings), FindPeers(std::move(FindPeers)) {
-  }
+                 std::function<Peers()> FindPeers, Codec Translation = Codec())
+      : Home(Around.Home), Settings(Settings), FindPeers(std::move(FindPeers)),
+        Translation(std::move(Translation)) {}
 
   void start() {
     ToPeers = FindPeers();
-    Transport = std::make_unique<Http::Client>(Home);
+    Transport = std::make_unique<Http::KeptClient>(Home);
     watchPauses();
   }
 
@@ -60,6 +61,12 @@
     Common::SteadyTime Deadline;
     std::optional<Http::TransferId> Transfer;
   };
+  // Time beyond the deadline in which the server may still say itself that it
+  // has passed.
+  static constexpr Common::Millis ServerSlack{30};
+  // Calls over which the share of failed ones is smoothed.
+  static constexpr double FailureMemory = 12;
+
   using AttemptKey = std::pair<OriginId, Routing::AttemptId>;
 
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
@@ -84,7 +91,10 @@
                      .Deadline = Opened.Deadline,
                      .Caller = Opened.Request.Caller,
                      .Kind = Opened.Request.Kind,
-                     .Arrived = Opened.Arrived},
+                     .Arrived = Opened.Arrived,
+                     .Priority = Opened.Request.Priority,
+                     .Target = Opened.Arrived + Opened.Request.TargetLeft,
+                     .WaitLimit = Opened.Request.WaitLimit},
                     now()));
   }
 
@@ -103,8 +113,8 @@
 
   void take(ServerAnnounced &Part) {
     Server = Part.Server;
-    ServerAddress = Part.Address;
-    act(Queue.setSlots(Server.Slots, now()));
+    Transport->useServer(Part.Address);
+    act(Queue.setSlots(Server.Leaving ? 0 : Server.Slots, now()));
   }
 
   void take(ServerLeft &Part) {
@@ -145,19 +155,12 @@
   void run(Admission::TicketId Id) {
     OpenCall &Call = Calls.at(Id);
     Call.Started = now();
-    Http::ClientRequest Asked;
-    Asked.Method = Call.Request.Method;
-    Asked.Url = "http://" + ServerAddress + Call.Request.Target;
-    Asked.Fields = Call.Request.Fields;
     const auto Left = std::chrono::duration_cast<Common::Micros>(Call.Deadline -
                                                                  Call.Started);
-    Asked.Fields["x-correlation-id"] = Call.Request.CorrelationId;
-    Asked.Fields["x-attempts-left"] = std::to_string(Call.Request.AttemptsLeft);
-    Asked.Fields["x-deadline-ms"] = std::to_string(
-        std::chrono::duration_cast<Common::Millis>(Left).count());
-    Asked.Body = std::move(Call.Request.Body);
-    Asked.Limit = Left;
-    Asked.NeverResend = !Call.Request.Idempotent;
+    Http::KeptRequest Asked =
+        Translation.toServerRequest(Call.Request, {Server.Server, Left});
+    Asked.Limit = Left + ServerSlack;
+    Asked.MayResend = Call.Request.Idempotent;
     Call.Transfer = Transport->send(
         std::move(Asked),
         [this, Id](Http::ClientResult Result) { finish(Id, Result); });
@@ -172,7 +175,7 @@
                    Server.Server, Result.Failure);
       Reply.Result = Result.MayHaveRun ? Common::ResultCode::OutcomeUnknown
                                        : Common::ResultCode::PeerUnreachable;
-    } else if (Result.Reply.Fields.contains("x-not-run")) {
+    } else if (Translation.isNotRun(Result.Reply)) {
       Reply.Result = Common::ResultCode::ServerShed;
     } else {
       Reply.Body = std::move(Result.Reply.Body);
@@ -182,6 +185,10 @@
         std::chrono::duration_cast<Common::Micros>(Call.Started - Call.Arrived);
     Reply.ServiceTime =
         std::chrono::duration_cast<Common::Micros>(now() - Call.Started);
+    constexpr int FirstServerError = 500;
+    const bool Failed = Reply.Result != Common::ResultCode::Ok ||
+                        Reply.HttpStatus >= FirstServerError;
+    FailureShare += ((Failed ? 1.0 : 0.0) - FailureShare) / FailureMemory;
     // The next call takes the slot before the answer is written out.
     act(Queue.finished(Id, now(), endingOf(Reply.Result)));
     reply(Id, std::move(Reply));
@@ -205,6 +212,8 @@
     const OpenCall &Call = Calls.at(Id);
     Reply.Attempt = Call.Request.Attempt;
     Reply.Load = Queue.load();
+    constexpr int Hundred = 100;
+    Reply.Load.FailurePercent = static_cast<int>(FailureShare * Hundred);
     Reply.Server = Server.Server;
     ToPeers.post(SendReply{Call.Origin, std::move(Reply)});
     forget(Id);
@@ -242,12 +251,14 @@
   Kernel::Timers Clock{Home};
   NodeSettings Settings;
   std::function<Peers()> FindPeers;
+  Codec Translation;
   Peers ToPeers;
-  std::unique_ptr<Http::Client> Transport;
+  std::unique_ptr<Http::KeptClient> Transport;
   Admission::SlotQueue<Order> Queue;
   Admission::PauseWatch Pauses;
   Membership::Endpoint Server;
-  std::string ServerAddress;
+  // Smoothed share of calls that the server failed.
+  double FailureShare = 0;
   std::unordered_map<Admission::TicketId, OpenCall> Calls;
   std::map<AttemptKey, Admission::TicketId> Tickets;
   Admission::TicketId NextTicket = 1;
--- a/Source/Core/Node/CallResponse.cpp
+++ b/Source/Core/Node/CallResponse.cpp
@@ -40,15 +40,39 @@
 void removeConnectionFields(Http::Headers &Fields) {
   for (const char *Name :
        {"connection", "keep-alive", "transfer-encoding", "content-length", "te",
-        "trailer", "upgrade", "expect", "proxy-connection", "host"})
+        "trailer", "upgrade", "expect", "proxy-connection"})
     Fields.erase(Name);
 }
 
+std::string hostName(const std::string &Field) {
+  std::string Name = Field.substr(0, Field.find(':'));
+  for (char &Each : Name)
+    if (Each >= 'A' && Each <= 'Z')
+      Each = static_cast<char>(Each - 'A' + 'a');
+  return Name;
+}
+
+Http::KeptRequest
+OwnCallCodec::toServerRequest(const Routing::CallRequest &Request,
+                              const ServerRequestContext &Context) const {
+  Http::KeptRequest Result;
+  Result.Method = Request.Method;
+  Result.Target = Request.Target;
+  Result.Fields = Request.Fields;
+  Result.Fields[CorrelationField] = Request.CorrelationId;
+  Result.Fields[AttemptsField] = std::to_string(Request.AttemptsLeft);
+  Result.Fields[DeadlineField] = std::to_string(
+      std::chrono::duration_cast<Common::Millis>(Context.Remaining).count());
+  Result.Body = Request.Body;
+  return Result;
+}
+
 Http::Response toResponse(const Routing::CallReply &Reply, int Attempts,
                           const std::string &CorrelationId) {
   Http::Response Result;
   Result.Fields = Reply.Fields;
   removeConnectionFields(Result.Fields);
+  Result.Fields.erase("host");
   const std::string Number =
       std::to_string(Common::resultCodeNumber(Reply.Result));
   if (Reply.Result == ResultCode::Ok) {
@@ -80,7 +104,10 @@
   const auto Given = Asked.Fields.find(CorrelationField);
   Result.CorrelationId =
       Given == Asked.Fields.end() ? FreshCorrelationId : Given->second;
+  if (const auto Host = Asked.Fields.find("host"); Host != Asked.Fields.end())
+    Result.Host = hostName(Host->second);
   removeConnectionFields(Asked.Fields);
+  Asked.Fields.erase("host");
   Result.Method = std::move(Asked.Method);
   Result.Path = std::move(Asked.Path);
   Result.Target = std::move(Asked.Target);
--- a/Source/Core/Node/ClaimedCall.cpp
+++ b/Source/Core/Node/ClaimedCall.cpp
@@ -18,11 +18,11 @@
 std::optional<Common::Micros> limitOfClaimed(const Config::ObjectSet *Set,
                                              const Routing::CallStart &Start) {
   const Config::Route *Route =
-      Set ? Set->findRoute(Start.Method, Start.Path) : nullptr;
+      Set ? Set->findRoute(Start.Host, Start.Method, Start.Path) : nullptr;
   if (!Route)
     return std::nullopt;
   const Config::RequestKind &Kind = Set->kinds().at(Route->Kind);
-  if (Kind.Idempotent)
+  if (!Kind.NeedsKey)
     return std::nullopt;
   return std::min(Start.Limit.value_or(Kind.Deadline), Kind.Deadline);
 }
--- a/Source/Core/Node/ClaimsService.h
+++ b/Source/Core/Node/ClaimsService.h
@@ -20,7 +20,7 @@
 #include "Node/NodeSettings.h"
 #include "Once/ClaimBatcher.h"
 #include "Once/ClaimGate.h"
-#include "Platform/LogClient.h"
+#include "OwnLog/LogClient.h"
 #include "Wire/OnceCodec.h"
 
 namespace Node {
@@ -46,7 +46,7 @@
 
   void start() {
     Transport = std::make_unique<Http::Client>(Home);
-    Log = std::make_unique<Platform::LogClient>(*Transport, Settings.LogUrl);
+    Log = std::make_unique<OwnLog::LogClient>(*Transport, Settings.LogUrl);
   }
 
   void handle(Message Content) {
@@ -181,7 +181,7 @@
   void perform(const Once::AppendBatch &Part) {
     Log->append(
         Settings.ClaimStream, Wire::encodeClaimBatch(Part.Content), AppendLimit,
-        [this, Id = Part.Content.Id](const Platform::AppendResult &Result) {
+        [this, Id = Part.Content.Id](const OwnLog::AppendResult &Result) {
           tick();
           act(Batcher.appendEnded(Id, Result.Code, now()));
           arm();
@@ -235,14 +235,14 @@
     const Common::Micros Wait =
         Batcher.isReady() ? ReadWait : Common::Micros(0);
     Log->read(Settings.ClaimStream, NextOffset, Wait,
-              [this](const Platform::ReadResult &Result) {
+              [this](const OwnLog::ReadResult &Result) {
                 tick();
                 takeRecords(Result);
                 arm();
               });
   }
 
-  void takeRecords(const Platform::ReadResult &Result) {
+  void takeRecords(const OwnLog::ReadResult &Result) {
     if (Result.Code == Common::ResultCode::LogOffsetExpired) {
       Batcher.historyLost();
       NextOffset = Result.First;
@@ -255,7 +255,7 @@
       readLater();
       return;
     }
-    for (const Platform::LogRecord &Each : Result.Records)
+    for (const OwnLog::LogRecord &Each : Result.Records)
       takeRecord(Each);
     if (NextOffset >= Result.Next && !Batcher.isReady()) {
       spdlog::info("knows {} claims", Batcher.knownClaims());
@@ -264,7 +264,7 @@
     read();
   }
 
-  void takeRecord(const Platform::LogRecord &Taken) {
+  void takeRecord(const OwnLog::LogRecord &Taken) {
     NextOffset = Taken.At + 1;
     Once::Batch Content;
     try {
@@ -313,13 +313,13 @@
   Once::ClaimGate Gate;
   Once::ClaimBatcher<> Batcher;
   std::unique_ptr<Http::Client> Transport;
-  std::unique_ptr<Platform::LogClient> Log;
+  std::unique_ptr<OwnLog::LogClient> Log;
   // The living nodes of this data centre by rank, and their control sockets.
   std::vector<std::string> Ranked;
   std::map<std::string, Routing::NodeAddress> Addresses;
   bool Following = false;
   std::optional<Common::SteadyTime> LastAsked;
-  Platform::Offset NextOffset = 1;
+  OwnLog::Offset NextOffset = 1;
   std::optional<Kernel::TimerId> Timer;
   Common::SteadyTime ArmedFor;
 };
--- a/Source/Core/Node/ConfigService.h
+++ b/Source/Core/Node/ConfigService.h
@@ -15,7 +15,7 @@
 #include "Kernel/Host.h"
 #include "Node/Messages.h"
 #include "Node/NodeSettings.h"
-#include "Platform/LogClient.h"
+#include "OwnLog/LogClient.h"
 #include "Wire/Codec.h"
 #include "Wire/ConfigCodec.h"
 
@@ -45,7 +45,7 @@
 
   void start() {
     Transport = std::make_unique<Http::Client>(Home);
-    Log = std::make_unique<Platform::LogClient>(*Transport, Settings.LogUrl);
+    Log = std::make_unique<OwnLog::LogClient>(*Transport, Settings.LogUrl);
     tick();
   }
 
@@ -204,7 +204,7 @@
     ReadBegan = now();
     Transfer =
         Log->read(Settings.LogStream, Spread.history().lastOffset() + 1,
-                  Settings.LogWait, [this](const Platform::ReadResult &Result) {
+                  Settings.LogWait, [this](const OwnLog::ReadResult &Result) {
                     Transfer.reset();
                     Waiting = false;
                     take(Result);
@@ -230,7 +230,7 @@
       read();
   }
 
-  void take(const Platform::ReadResult &Result) {
+  void take(const OwnLog::ReadResult &Result) {
     count(LogBytes, Result.Bytes);
     if (Result.Code == Common::ResultCode::LogOffsetExpired) {
       loadCheckpoint(Result.First);
@@ -243,7 +243,7 @@
       readAfter(MostRetry);
       return;
     }
-    for (const Platform::LogRecord &Each : Result.Records)
+    for (const OwnLog::LogRecord &Each : Result.Records)
       judge(Each);
     const bool Stuck = Spread.history().isHalted();
     const bool AtEnd =
@@ -260,7 +260,7 @@
       readOn();
   }
 
-  void judge(const Platform::LogRecord &Taken) {
+  void judge(const OwnLog::LogRecord &Taken) {
     std::optional<Config::Verdict> Judged;
     try {
       act(Spread.record(Taken.At, Wire::decodeRecord(Taken.Content), Judged,
@@ -282,7 +282,7 @@
     Waiting = true;
     Transfer =
         Log->read(Settings.CheckpointStream, CheckpointNext, Common::Micros(0),
-                  [this, ConfigFirst](const Platform::ReadResult &Result) {
+                  [this, ConfigFirst](const OwnLog::ReadResult &Result) {
                     Transfer.reset();
                     Waiting = false;
                     takeChunks(ConfigFirst, Result);
@@ -290,7 +290,7 @@
   }
 
   void takeChunks(Config::Version ConfigFirst,
-                  const Platform::ReadResult &Result) {
+                  const OwnLog::ReadResult &Result) {
     count("checkpoint-read", Result.Bytes);
     if (Result.Code == Common::ResultCode::LogOffsetExpired &&
         Result.First > CheckpointNext) {
@@ -303,7 +303,7 @@
       readAfter(MostRetry);
       return;
     }
-    for (const Platform::LogRecord &Each : Result.Records) {
+    for (const OwnLog::LogRecord &Each : Result.Records) {
       CheckpointNext = Each.At + 1;
       takeChunk(Each);
     }
@@ -314,7 +314,7 @@
     restore(ConfigFirst);
   }
 
-  void takeChunk(const Platform::LogRecord &Taken) {
+  void takeChunk(const OwnLog::LogRecord &Taken) {
     try {
       const Common::ResultCode Code =
           Checkpoints.take(Wire::decodeChunk(Taken.Content));
@@ -355,7 +355,7 @@
     std::string Content = Wire::encodeChunk((*Parts)[Index]);
     count("checkpoint-written", Content.size());
     Log->append(Settings.CheckpointStream, std::move(Content), AppendLimit,
-                [this, Parts, Index](const Platform::AppendResult &Result) {
+                [this, Parts, Index](const OwnLog::AppendResult &Result) {
                   if (Result.Code != Common::ResultCode::Ok) {
                     spdlog::warn("checkpoint: {} {}",
                                  Common::resultCodeName(Result.Code),
@@ -375,7 +375,7 @@
   Config::Spreader Spread;
   std::shared_ptr<const std::vector<Membership::Member>> ChangedMembers;
   Config::CheckpointAssembler Checkpoints;
-  Platform::Offset CheckpointNext = 1;
+  OwnLog::Offset CheckpointNext = 1;
   std::map<std::string, ByteCount> Traffic;
   Config::Version EncodedNumber = 0;
   std::map<Config::Version, std::string> Encoded;
@@ -386,7 +386,7 @@
   std::optional<Http::TransferId> Transfer;
   std::optional<Kernel::TimerId> Retry;
   std::unique_ptr<Http::Client> Transport;
-  std::unique_ptr<Platform::LogClient> Log;
+  std::unique_ptr<OwnLog::LogClient> Log;
 };
 
 } // namespace Node
--- a/Source/Core/Node/ControlService.h
+++ b/Source/Core/Node/ControlService.h
@@ -23,6 +23,17 @@
   std::function<void(EnvelopeLost)> OnLost;
 };
 
+// Passes envelopes on to a service whose messages include them.
+template <class Message>
+EnvelopeSinks envelopeSinks(Kernel::Address<Message> Target) {
+  return {[Target](EnvelopeArrived Part) mutable {
+            Target.post(Message(std::move(Part)));
+          },
+          [Target](EnvelopeLost Part) mutable {
+            Target.post(Message(std::move(Part)));
+          }};
+}
+
 // Carries messages between services of the same name on different nodes, on
 // connections apart from those of calls: a large set must not hold up a call.
 class ControlService {
--- a/Source/Core/Node/FrontService.h
+++ b/Source/Core/Node/FrontService.h
@@ -7,7 +7,7 @@
 
 #include <spdlog/spdlog.h>
 
-#include "Http/Server.h"
+#include "Http/EdgeServer.h"
 #include "Kernel/Host.h"
 #include "Node/CallResponse.h"
 #include "Node/ClaimedCall.h"
@@ -23,7 +23,9 @@
           Kernel::MessageSink<MembersMessage> Members,
           Kernel::MessageSink<ClaimsMessage> Claims,
           Kernel::MessageSink<MetricsMessage> Metrics,
-          Kernel::MessageSink<AdminMessage> Admin>
+          Kernel::MessageSink<AdminMessage> Admin,
+          CallCodec Codec = OwnCallCodec,
+          Routing::RetryBudgets Budgets = Routing::KindBudgets>
 class FrontService {
 public:
   using Message = FrontMessage;
@@ -37,19 +39,28 @@
   };
 
   FrontService(Kernel::Context Around, const NodeSettings &Settings,
-               Policy Choice, Sinks Targets)
+               Policy Choice, Sinks Targets, Codec Translation = Codec(),
+               Budgets Extra = Budgets())
       : Home(Around.Home), Settings(Settings), Targets(std::move(Targets)),
-        Calls(Settings.DataCentre, std::move(Choice), Settings.OpenCallLimit) {}
+        Translation(std::move(Translation)),
+        Calls(Settings.DataCentre, std::move(Choice), Settings.OpenCallLimit,
+              std::move(Extra)) {}
 
   void start() {
-    Listener = Http::ServerBuilder(Home)
-                   .address(Settings.Address)
-                   .port(Settings.CallPort)
-                   .bodyLimit(Settings.BodyLimit)
-                   .onRequest([this](Http::ExchangeId Id, Http::Request Asked) {
-                     takeRequest(Id, std::move(Asked));
-                   })
-                   .build();
+    Http::EdgeLimits Limits;
+    Limits.BodyBytes = Settings.BodyLimit;
+    Listener =
+        Http::EdgeServerBuilder(Home)
+            .address(Settings.CallAddress)
+            .port(Settings.CallPort)
+            .limits(Limits)
+            .onRequest([this](Http::ExchangeId Id, Http::Request Asked) {
+              takeRequest(Id, std::move(Asked));
+            })
+            .onCallerGone([this](Http::ExchangeId Id) {
+              act(Calls.callerGone(static_cast<Routing::CallId>(Id), now()));
+            })
+            .build();
     spdlog::info("callers are served on {}:{}", Settings.Address,
                  Listener->port());
   }
@@ -59,12 +70,15 @@
     armTimer();
   }
 
-  // Each caller gets its answer before the node goes.
+  // Each caller gets its answer before the node goes. Callers that have not
+  // heard that it goes are served on for a while.
   void drain(std::function<void()> Done) {
-    Draining = true;
-    Listener->stopListening();
+    Listener->retireConnections();
     OnDrained = std::move(Done);
-    finishDrain();
+    if (Settings.ServeOnLimit.count() == 0)
+      endService();
+    else
+      Clock.after(Settings.ServeOnLimit, [this] { endService(); });
   }
 
   void stop() { Listener.reset(); }
@@ -88,9 +102,16 @@
       return;
     Set = Part.Newest.Set;
     Calls.useSet(Part.Newest.Number, Part.Newest.Set);
+    if (const auto &Limits = Set->callerLimits())
+      Listener->useLimits({Limits->HeaderBytes, Limits->BodyBytes,
+                           Limits->HeaderTime, Limits->IdleTime});
     Targets.ToAdmin.post(VersionInForce{Part.Newest.Number});
     Targets.ToMembers.post(VersionInForce{Part.Newest.Number});
   }
+  void take(const CallerNamed &Part) {
+    if constexpr (requires { Translation.useService(Part.Service); })
+      Translation.useService(Part.Service);
+  }
   void take(ServersChanged &Part) { Calls.useServers(Part.Servers, now()); }
   void take(ReplyArrived &Part) { act(Calls.reply(Part.Reply, now())); }
   void take(NodeLost &Part) { act(Calls.connectionLost(Part.Address, now())); }
@@ -118,12 +139,18 @@
     answer(Part.Call, std::move(Answer));
   }
 
+  void endService() {
+    Draining = true;
+    Listener->stopListening();
+    finishDrain();
+  }
+
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
 
   void takeRequest(Http::ExchangeId Id, Http::Request Asked) {
-    Routing::CallStart Start =
-        toCallStart(static_cast<Routing::CallId>(Id), std::move(Asked),
-                    Settings.Name + "-" + std::to_string(Id));
+    Routing::CallStart Start = Translation.toCallStart(
+        static_cast<Routing::CallId>(Id), std::move(Asked),
+        Settings.Name + "-" + std::to_string(Id));
     OpenCalls.emplace(Start.Call, OpenCall{Start.CorrelationId, now(), {}, {}});
     if (Draining) {
       Routing::CallReply Refused;
@@ -141,7 +168,8 @@
   // A call of a non-idempotent kind begins when its key is claimed.
   void claim(Routing::CallStart Start, Common::SteadyTime Deadline) {
     const Routing::CallId Call = Start.Call;
-    const Config::Route *Route = Set->findRoute(Start.Method, Start.Path);
+    const Config::Route *Route =
+        Set->findRoute(Start.Host, Start.Method, Start.Path);
     OpenCall &Opened = OpenCalls.at(Call);
     Opened.Service = Route->Service;
     Opened.Kind = Route->Kind;
@@ -199,9 +227,8 @@
       spdlog::info("call {}: {} {}", Ended.CorrelationId,
                    Common::resultCodeNumber(Part.Reply.Result),
                    Common::resultCodeName(Part.Reply.Result));
-    Listener->answer(
-        static_cast<Http::ExchangeId>(Part.Call),
-        toResponse(Part.Reply, Part.Attempts, Ended.CorrelationId));
+    Listener->answer(static_cast<Http::ExchangeId>(Part.Call),
+                     Translation.toResponse(Part, Ended.CorrelationId));
     sample(Part, Ended);
     finishDrain();
   }
@@ -255,7 +282,7 @@
   }
 
   void finishDrain() {
-    if (!OnDrained || Calls.openCalls() > 0 || Pending.size() > 0)
+    if (!OnDrained || !Draining || Calls.openCalls() > 0 || Pending.size() > 0)
       return;
     // The answers still have to leave through the sockets.
     Clock.after(Common::Millis(200), std::exchange(OnDrained, nullptr));
@@ -265,12 +292,13 @@
   Kernel::Timers Clock{Home};
   NodeSettings Settings;
   Sinks Targets;
-  Routing::Dispatcher<Policy> Calls;
+  Codec Translation;
+  Routing::Dispatcher<Policy, Budgets> Calls;
   Config::ObjectSetPtr Set;
   Once::PendingCalls<Routing::CallStart> Pending;
   // Calls that run under a claim.
   std::unordered_set<Routing::CallId> Claimed;
-  std::unique_ptr<Http::Server> Listener;
+  std::unique_ptr<Http::EdgeServer> Listener;
   std::unordered_map<Routing::CallId, OpenCall> OpenCalls;
   std::vector<Report::CallSample> Samples;
   std::optional<Kernel::TimerId> Timer;
--- a/Source/Core/Node/MembersService.h
+++ b/Source/Core/Node/MembersService.h
@@ -20,8 +20,8 @@
 // Runs the decisions on membership over UDP, and tells the other services who
 // is alive and which backend servers there are.
 template <Kernel::MessageSink<FrontMessage> Front,
-          Kernel::MessageSink<ConfigMessage> Config,
-          Kernel::MessageSink<ClaimsMessage> Claims,
+          Kernel::MessageSink<MembersChanged> Config,
+          Kernel::MessageSink<MembersChanged> Claims,
           Kernel::MessageSink<AdminMessage> Admin>
 class MembersService {
 public:
@@ -115,6 +115,8 @@
       withdraw(*Left, "left");
   }
 
+  void take(SeedsFound &Part) { Decisions.addSeeds(Part.Seeds, now()); }
+
   void take(VersionInForce &Part) { Decisions.setConfigVersion(Part.Number); }
 
   void endLapsedLease() {
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -10,6 +10,7 @@
 
 #include "Config/AcceptedHistory.h"
 #include "Http/Server.h"
+#include "Membership/Datagram.h"
 #include "Membership/Member.h"
 #include "Membership/Traffic.h"
 #include "Once/CallKey.h"
@@ -54,8 +55,12 @@
   Common::ResultCode Code = Common::ResultCode::Ok;
   std::optional<Routing::CallReply> Recorded;
 };
+// The service on this VM, as which its calls are made.
+struct CallerNamed {
+  std::string Service;
+};
 using FrontMessage = std::variant<ConfigAccepted, ServersChanged, ReplyArrived,
-                                  NodeLost, ClaimDecided>;
+                                  NodeLost, ClaimDecided, CallerNamed>;
 
 struct SendRequest {
   Routing::NodeAddress Address;
@@ -97,8 +102,12 @@
 struct VersionInForce {
   Config::Version Number = 0;
 };
+// Nodes that were found in a directory; any of them may be gone.
+struct SeedsFound {
+  std::vector<Membership::Place> Seeds;
+};
 using MembersMessage =
-    std::variant<ServerAnnounced, ServerLeft, VersionInForce>;
+    std::variant<ServerAnnounced, ServerLeft, VersionInForce, SeedsFound>;
 
 // The nodes that are alive, this one among them.
 struct MembersChanged {
--- a/Source/Core/Node/NodeBuilder.cpp
+++ b/Source/Core/Node/NodeBuilder.cpp
@@ -42,17 +42,6 @@
 constexpr const char *CallTask = "calls";
 constexpr const char *ControlTask = "control";
 
-// Passes envelopes on to a service whose messages include them.
-template <class Message>
-EnvelopeSinks envelopeSinks(Kernel::Address<Message> Target) {
-  return {[Target](EnvelopeArrived Part) mutable {
-            Target.post(Message(std::move(Part)));
-          },
-          [Target](EnvelopeLost Part) mutable {
-            Target.post(Message(std::move(Part)));
-          }};
-}
-
 template <Routing::ChoicePolicy Policy>
 void addFront(Kernel::HostBuilder &Builder, const NodeSettings &Own,
               Policy Choice) {
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -133,6 +133,8 @@
        "time between telling that the node leaves and refusing calls"},
       {"members", "drain-limit", SettingType::Time, "1h", Second,
        86400 * Second, "longest wait for running calls at a stop"},
+      {"members", "serve-on-limit", SettingType::Time, "0ms", 0, 3600 * Second,
+       "how long callers are served on after a stop signal"},
       {"control", "port", SettingType::Integer, "0", 0, MaxPort,
        "TCP port for configuration and claims between nodes"},
       {"admin", "port", SettingType::Integer, "0", 0, MaxPort,
@@ -179,6 +181,7 @@
   Result.Name = From.text("node", "name");
   Result.DataCentre = From.text("node", "data-centre");
   Result.Address = From.text("node", "address");
+  Result.CallAddress = Result.Address;
   Result.CallPort = static_cast<int>(From.integer("calls", "port"));
   Result.BodyLimit =
       static_cast<std::size_t>(From.integer("calls", "body-limit"));
@@ -202,6 +205,7 @@
   Result.AnnouncementLimit = From.time("members", "announcement-limit");
   Result.LeaveDelay = From.time("members", "leave-delay");
   Result.DrainLimit = From.time("members", "drain-limit");
+  Result.ServeOnLimit = From.time("members", "serve-on-limit");
   Result.LogUrl = From.text("log", "url");
   Result.LogStream = From.text("log", "stream");
   Result.LogWait = From.time("log", "wait");
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -27,6 +27,8 @@
   std::string Name;
   std::string DataCentre;
   std::string Address;
+  // Where callers reach the node; its Address unless the settings say more.
+  std::string CallAddress;
   int CallPort = 0;
   int PeerPort = 0;
   Common::Micros EchoInterval{0};
@@ -46,6 +48,8 @@
   Common::Micros AnnouncementLimit{0};
   Common::Micros LeaveDelay{0};
   Common::Micros DrainLimit{0};
+  // How long callers are served on after a stop signal.
+  Common::Micros ServeOnLimit{0};
   std::string LogUrl;
   std::string LogStream;
   Common::Micros LogWait{0};
--- a/Source/Core/Operator/HistoryReader.cpp
+++ b/Source/Core/Operator/HistoryReader.cpp
@@ -16,7 +16,7 @@
 }
 
 void HistoryReader::readMore(Common::Micros Wait) {
-  const Platform::ReadResult Result =
+  const OwnLog::ReadResult Result =
       Transport.read(Place.Url, Place.Stream, History.lastOffset() + 1, Wait);
   if (Result.Code == ResultCode::LogOffsetExpired) {
     loadCheckpoint(Result.First);
@@ -26,7 +26,7 @@
   if (Result.Code != ResultCode::Ok)
     throw Error(Result.Code, Result.Detail);
   LogEnd = Result.Next;
-  for (const Platform::LogRecord &Each : Result.Records)
+  for (const OwnLog::LogRecord &Each : Result.Records)
     take(Each);
 }
 
@@ -36,7 +36,7 @@
   while (History.lastOffset() + 1 < LogEnd);
 }
 
-void HistoryReader::take(const Platform::LogRecord &Taken) {
+void HistoryReader::take(const OwnLog::LogRecord &Taken) {
   JudgedRecord Kept;
   std::optional<Config::Verdict> Judged;
   try {
@@ -59,9 +59,9 @@
 
 void HistoryReader::loadCheckpoint(Config::Version ConfigFirst) {
   Config::CheckpointAssembler Whole;
-  Platform::Offset From = 1;
+  OwnLog::Offset From = 1;
   for (bool More = true; More;) {
-    const Platform::ReadResult Result = Transport.read(
+    const OwnLog::ReadResult Result = Transport.read(
         Place.Url, Place.CheckpointStream, From, Common::Micros(0));
     if (Result.Code == ResultCode::LogOffsetExpired && Result.First > From) {
       From = Result.First;
@@ -69,7 +69,7 @@
     }
     if (Result.Code != ResultCode::Ok)
       throw Error(Result.Code, Result.Detail);
-    for (const Platform::LogRecord &Each : Result.Records) {
+    for (const OwnLog::LogRecord &Each : Result.Records) {
       From = Each.At + 1;
       try {
         Whole.take(Wire::decodeChunk(Each.Content));
--- a/Source/Core/Operator/HistoryReader.h
+++ b/Source/Core/Operator/HistoryReader.h
@@ -46,13 +46,13 @@
   bool knows(Config::Version Number) const { return Texts.contains(Number); }
 
 private:
-  void take(const Platform::LogRecord &Taken);
+  void take(const OwnLog::LogRecord &Taken);
   void loadCheckpoint(Config::Version ConfigFirst);
 
   SyncHttp &Transport;
   LogPlace Place;
   Config::AcceptedHistory History;
-  Platform::Offset LogEnd = 0;
+  OwnLog::Offset LogEnd = 0;
   std::map<Config::Version, JudgedRecord> Records;
   // Of accepted versions. The empty set is version 0.
   std::map<Config::Version, std::string> Texts;
--- a/Source/Core/Operator/Publisher.cpp
+++ b/Source/Core/Operator/Publisher.cpp
@@ -55,7 +55,7 @@
   while (std::chrono::steady_clock::now() < End) {
     try {
       if (!MayHaveLanded) {
-        const Platform::AppendResult Appended =
+        const OwnLog::AppendResult Appended =
             Transport.append(Place.Url, Place.Stream, Content, AppendLimit);
         Failure = Appended.Detail;
         MayHaveLanded = true;
--- a/Source/Core/Operator/SyncHttp.cpp
+++ b/Source/Core/Operator/SyncHttp.cpp
@@ -24,28 +24,27 @@
   return Answer.get_future().get();
 }
 
-Platform::AppendResult SyncHttp::append(const std::string &LogUrl,
-                                        const std::string &Stream,
-                                        const std::string &Content,
-                                        Common::Micros Limit) {
-  std::promise<Platform::AppendResult> Answer;
+OwnLog::AppendResult SyncHttp::append(const std::string &LogUrl,
+                                      const std::string &Stream,
+                                      const std::string &Content,
+                                      Common::Micros Limit) {
+  std::promise<OwnLog::AppendResult> Answer;
   Worker.post([&] {
-    Platform::LogClient(*Transport, LogUrl)
-        .append(Stream, Content, Limit, [&](Platform::AppendResult Result) {
+    OwnLog::LogClient(*Transport, LogUrl)
+        .append(Stream, Content, Limit, [&](OwnLog::AppendResult Result) {
           Answer.set_value(std::move(Result));
         });
   });
   return Answer.get_future().get();
 }
 
-Platform::ReadResult SyncHttp::read(const std::string &LogUrl,
-                                    const std::string &Stream,
-                                    Platform::Offset From,
-                                    Common::Micros Wait) {
-  std::promise<Platform::ReadResult> Answer;
+OwnLog::ReadResult SyncHttp::read(const std::string &LogUrl,
+                                  const std::string &Stream,
+                                  OwnLog::Offset From, Common::Micros Wait) {
+  std::promise<OwnLog::ReadResult> Answer;
   Worker.post([&] {
-    Platform::LogClient(*Transport, LogUrl)
-        .read(Stream, From, Wait, [&](Platform::ReadResult Result) {
+    OwnLog::LogClient(*Transport, LogUrl)
+        .read(Stream, From, Wait, [&](OwnLog::ReadResult Result) {
           Answer.set_value(std::move(Result));
         });
   });
--- a/Source/Core/Operator/SyncHttp.h
+++ b/Source/Core/Operator/SyncHttp.h
@@ -4,7 +4,7 @@
 
 #include "Http/Client.h"
 #include "Kernel/Task.h"
-#include "Platform/LogClient.h"
+#include "OwnLog/LogClient.h"
 
 namespace Operator {
 
@@ -15,13 +15,11 @@
   ~SyncHttp();
 
   Http::ClientResult send(Http::ClientRequest Asked);
-  Platform::AppendResult append(const std::string &LogUrl,
-                                const std::string &Stream,
-                                const std::string &Content,
-                                Common::Micros Limit);
-  Platform::ReadResult read(const std::string &LogUrl,
-                            const std::string &Stream, Platform::Offset From,
-                            Common::Micros Wait);
+  OwnLog::AppendResult append(const std::string &LogUrl,
+                              const std::string &Stream,
+                              const std::string &Content, Common::Micros Limit);
+  OwnLog::ReadResult read(const std::string &LogUrl, const std::string &Stream,
+                          OwnLog::Offset From, Common::Micros Wait);
 
 private:
   Kernel::Task Worker;
--- a/Source/Core/Platform/LogClient.cpp
+++ b/Source/Core/OwnLog/LogClient.cpp
@@ -1,11 +1,11 @@
-#include "Platform/LogClient.h"
+#include "OwnLog/LogClient.h"
 
 #include <charconv>
 #include <sstream>
 
 #include "Common/Error.h"
 
-namespace Platform {
+namespace OwnLog {
 
 using Common::ResultCode;
 
@@ -134,4 +134,4 @@
   return Records;
 }
 
-} // namespace Platform
+} // namespace OwnLog
--- a/Source/Core/Platform/LogClient.h
+++ b/Source/Core/OwnLog/LogClient.h
@@ -8,7 +8,7 @@
 #include "Common/Time.h"
 #include "Http/Client.h"
 
-namespace Platform {
+namespace OwnLog {
 
 using Offset = std::int64_t;
 
@@ -63,4 +63,4 @@
 // Throws LogMalformedAnswer.
 std::vector<LogRecord> parseRecords(const std::string &Body);
 
-} // namespace Platform
+} // namespace OwnLog
--- a/Source/Core/Routing/Call.h
+++ b/Source/Core/Routing/Call.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "Common/ResultCode.h"
@@ -29,6 +30,14 @@
   Common::Micros Remaining{0};
   // How many attempts each call further down the chain may make.
   int AttemptsLeft = 1;
+  // Time left in which the answer is worth most; 0 when it isn't stated.
+  Common::Micros TargetLeft{0};
+  // 0 is served first when there is too little room.
+  int Priority = 0;
+  // The far node refuses the call at once when it would wait for longer.
+  std::optional<Common::Micros> WaitLimit;
+  // Set when the call must reach this very server.
+  std::string Server;
   bool LongLane = false;
   bool Idempotent = true;
   std::string CorrelationId;
@@ -41,6 +50,10 @@
   int Queued = 0;
   int BusySlots = 0;
   int Slots = 0;
+  // How long calls of all kinds hold a slot there at present; 0 is unknown.
+  Common::Micros SlotTime{0};
+  // Share of the latest calls that the server failed, in hundredths.
+  int FailurePercent = 0;
 };
 
 struct CallReply {
--- a/Source/Core/Wire/Codec.cpp
+++ b/Source/Core/Wire/Codec.cpp
@@ -41,6 +41,11 @@
   Part.Caller = From.Caller;
   Part.ConfigVersion = From.ConfigVersion;
   Part.Idempotent = From.Idempotent;
+  Part.TargetMicros = From.TargetLeft.count();
+  Part.Priority = From.Priority;
+  if (From.WaitLimit)
+    Part.__set_WaitLimitMicros(From.WaitLimit->count());
+  Part.Server = From.Server;
   Generated::Frame Result;
   Result.__set_Request(Part);
   return Result;
@@ -59,6 +64,8 @@
   Part.QueueMicros = From.QueueTime.count();
   Part.ServiceMicros = From.ServiceTime.count();
   Part.Server = From.Server;
+  Part.SlotMicros = From.Load.SlotTime.count();
+  Part.FailurePercent = From.Load.FailurePercent;
   Generated::Frame Result;
   Result.__set_Reply(Part);
   return Result;
@@ -103,6 +110,11 @@
   Result.AttemptsLeft = Part.AttemptsLeft;
   Result.LongLane = Part.LongLane;
   Result.Idempotent = Part.Idempotent;
+  Result.TargetLeft = Common::Micros(Part.TargetMicros);
+  Result.Priority = Part.Priority;
+  if (Part.__isset.WaitLimitMicros)
+    Result.WaitLimit = Common::Micros(Part.WaitLimitMicros);
+  Result.Server = std::move(Part.Server);
   Result.CorrelationId = std::move(Part.CorrelationId);
   Result.Caller = std::move(Part.Caller);
   Result.ConfigVersion = Part.ConfigVersion;
@@ -116,8 +128,11 @@
   Result.HttpStatus = Part.HttpStatus;
   Result.Body = std::move(Part.Body);
   Result.Fields = std::move(Part.Headers);
-  Result.Load = {
-      .Queued = Part.Queued, .BusySlots = Part.BusySlots, .Slots = Part.Slots};
+  Result.Load = {.Queued = Part.Queued,
+                 .BusySlots = Part.BusySlots,
+                 .Slots = Part.Slots,
+                 .SlotTime = Common::Micros(Part.SlotMicros),
+                 .FailurePercent = Part.FailurePercent};
   Result.QueueTime = Common::Micros(Part.QueueMicros);
   Result.ServiceTime = Common::Micros(Part.ServiceMicros);
   Result.Server = std::move(Part.Server);
--- a/Source/Core/Wire/FrameSocket.h
+++ b/Source/Core/Wire/FrameSocket.h
@@ -7,6 +7,7 @@
 
 #include "Common/Time.h"
 #include "Kernel/Task.h"
+#include "Net/Listener.h"
 
 namespace Wire {
 
@@ -48,19 +49,18 @@
 // any frame is read.
 class FrameListener {
 public:
-  using OnAccepted = std::function<void(
-      std::function<std::unique_ptr<FrameSocket>(FrameSocket::Events)>)>;
+  using Adopter =
+      std::function<std::unique_ptr<FrameSocket>(FrameSocket::Events)>;
+  using OnAccepted = std::function<void(const Adopter &)>;
 
   // Throws SystemCallFailed when the port cannot be had. 0 takes a free one.
   FrameListener(Kernel::Task &Home, const std::string &Address, int Port,
                 OnAccepted Accepted);
-  ~FrameListener();
 
-  int port() const;
+  int port() const { return Socket.port(); }
 
 private:
-  struct Impl;
-  std::unique_ptr<Impl> Self;
+  Net::Listener Socket;
 };
 
 } // namespace Wire
--- a/Source/Core/Wire/Generated/Zinnia_types.cpp
+++ b/Source/Core/Wire/Generated/Zinnia_types.cpp
@@ -205,6 +205,23 @@
 void CallRequest::__set_Idempotent(const bool val) {
   this->Idempotent = val;
 }
+
+void CallRequest::__set_TargetMicros(const int64_t val) {
+  this->TargetMicros = val;
+}
+
+void CallRequest::__set_Priority(const int32_t val) {
+  this->Priority = val;
+}
+
+void CallRequest::__set_WaitLimitMicros(const int64_t val) {
+  this->WaitLimitMicros = val;
+__isset.WaitLimitMicros = true;
+}
+
+void CallRequest::__set_Server(const std::string& val) {
+  this->Server = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -360,6 +377,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->TargetMicros);
+          this->__isset.TargetMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Priority);
+          this->__isset.Priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->WaitLimitMicros);
+          this->__isset.WaitLimitMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Server);
+          this->__isset.Server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -442,6 +491,23 @@
   xfer += oprot->writeBool(this->Idempotent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("TargetMicros", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->TargetMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Priority", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->Priority);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.WaitLimitMicros) {
+    xfer += oprot->writeFieldBegin("WaitLimitMicros", ::apache::thrift::protocol::T_I64, 17);
+    xfer += oprot->writeI64(this->WaitLimitMicros);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("Server", ::apache::thrift::protocol::T_STRING, 18);
+  xfer += oprot->writeString(this->Server);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -463,6 +529,10 @@
   swap(a.Caller, b.Caller);
   swap(a.ConfigVersion, b.ConfigVersion);
   swap(a.Idempotent, b.Idempotent);
+  swap(a.TargetMicros, b.TargetMicros);
+  swap(a.Priority, b.Priority);
+  swap(a.WaitLimitMicros, b.WaitLimitMicros);
+  swap(a.Server, b.Server);
   swap(a.__isset, b.__isset);
 }
 
@@ -481,6 +551,10 @@
   Caller = other10.Caller;
   ConfigVersion = other10.ConfigVersion;
   Idempotent = other10.Idempotent;
+  TargetMicros = other10.TargetMicros;
+  Priority = other10.Priority;
+  WaitLimitMicros = other10.WaitLimitMicros;
+  Server = other10.Server;
   __isset = other10.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other11) {
@@ -498,6 +572,10 @@
   Caller = other11.Caller;
   ConfigVersion = other11.ConfigVersion;
   Idempotent = other11.Idempotent;
+  TargetMicros = other11.TargetMicros;
+  Priority = other11.Priority;
+  WaitLimitMicros = other11.WaitLimitMicros;
+  Server = other11.Server;
   __isset = other11.__isset;
   return *this;
 }
@@ -518,6 +596,10 @@
   out << ", " << "Caller=" << to_string(Caller);
   out << ", " << "ConfigVersion=" << to_string(ConfigVersion);
   out << ", " << "Idempotent=" << to_string(Idempotent);
+  out << ", " << "TargetMicros=" << to_string(TargetMicros);
+  out << ", " << "Priority=" << to_string(Priority);
+  out << ", " << "WaitLimitMicros="; (__isset.WaitLimitMicros ? (out << to_string(WaitLimitMicros)) : (out << "<null>"));
+  out << ", " << "Server=" << to_string(Server);
   out << ")";
 }
 
@@ -569,6 +651,14 @@
 void CallReply::__set_Server(const std::string& val) {
   this->Server = val;
 }
+
+void CallReply::__set_SlotMicros(const int64_t val) {
+  this->SlotMicros = val;
+}
+
+void CallReply::__set_FailurePercent(const int32_t val) {
+  this->FailurePercent = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallReply& obj)
 {
   obj.printTo(out);
@@ -700,6 +790,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->SlotMicros);
+          this->__isset.SlotMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->FailurePercent);
+          this->__isset.FailurePercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -770,6 +876,14 @@
   xfer += oprot->writeString(this->Server);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("SlotMicros", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->SlotMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("FailurePercent", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->FailurePercent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -788,6 +902,8 @@
   swap(a.QueueMicros, b.QueueMicros);
   swap(a.ServiceMicros, b.ServiceMicros);
   swap(a.Server, b.Server);
+  swap(a.SlotMicros, b.SlotMicros);
+  swap(a.FailurePercent, b.FailurePercent);
   swap(a.__isset, b.__isset);
 }
 
@@ -803,6 +919,8 @@
   QueueMicros = other20.QueueMicros;
   ServiceMicros = other20.ServiceMicros;
   Server = other20.Server;
+  SlotMicros = other20.SlotMicros;
+  FailurePercent = other20.FailurePercent;
   __isset = other20.__isset;
 }
 CallReply& CallReply::operator=(const CallReply& other21) {
@@ -817,6 +935,8 @@
   QueueMicros = other21.QueueMicros;
   ServiceMicros = other21.ServiceMicros;
   Server = other21.Server;
+  SlotMicros = other21.SlotMicros;
+  FailurePercent = other21.FailurePercent;
   __isset = other21.__isset;
   return *this;
 }
@@ -834,6 +954,8 @@
   out << ", " << "QueueMicros=" << to_string(QueueMicros);
   out << ", " << "ServiceMicros=" << to_string(ServiceMicros);
   out << ", " << "Server=" << to_string(Server);
+  out << ", " << "SlotMicros=" << to_string(SlotMicros);
+  out << ", " << "FailurePercent=" << to_string(FailurePercent);
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Zinnia_types.h
+++ b/Source/Core/Wire/Generated/Zinnia_types.h
@@ -99,7 +99,7 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : CallId(false), Service(false), Kind(false), Method(false), Target(false), Body(false), Headers(false), RemainingMicros(false), AttemptsLeft(false), LongLane(false), CorrelationId(false), Caller(false), ConfigVersion(false), Idempotent(false) {}
+  _CallRequest__isset() : CallId(false), Service(false), Kind(false), Method(false), Target(false), Body(false), Headers(false), RemainingMicros(false), AttemptsLeft(false), LongLane(false), CorrelationId(false), Caller(false), ConfigVersion(false), Idempotent(false), TargetMicros(false), Priority(false), WaitLimitMicros(false), Server(false) {}
   bool CallId :1;
   bool Service :1;
   bool Kind :1;
@@ -114,6 +114,10 @@
   bool Caller :1;
   bool ConfigVersion :1;
   bool Idempotent :1;
+  bool TargetMicros :1;
+  bool Priority :1;
+  bool WaitLimitMicros :1;
+  bool Server :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -134,7 +138,11 @@
                 CorrelationId(),
                 Caller(),
                 ConfigVersion(0),
-                Idempotent(0) {
+                Idempotent(0),
+                TargetMicros(0),
+                Priority(0),
+                WaitLimitMicros(0),
+                Server() {
   }
 
   virtual ~CallRequest() noexcept;
@@ -152,6 +160,10 @@
   std::string Caller;
   int64_t ConfigVersion;
   bool Idempotent;
+  int64_t TargetMicros;
+  int32_t Priority;
+  int64_t WaitLimitMicros;
+  std::string Server;
 
   _CallRequest__isset __isset;
 
@@ -183,6 +195,14 @@
 
   void __set_Idempotent(const bool val);
 
+  void __set_TargetMicros(const int64_t val);
+
+  void __set_Priority(const int32_t val);
+
+  void __set_WaitLimitMicros(const int64_t val);
+
+  void __set_Server(const std::string& val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(CallId == rhs.CallId))
@@ -213,6 +233,16 @@
       return false;
     if (!(Idempotent == rhs.Idempotent))
       return false;
+    if (!(TargetMicros == rhs.TargetMicros))
+      return false;
+    if (!(Priority == rhs.Priority))
+      return false;
+    if (__isset.WaitLimitMicros != rhs.__isset.WaitLimitMicros)
+      return false;
+    else if (__isset.WaitLimitMicros && !(WaitLimitMicros == rhs.WaitLimitMicros))
+      return false;
+    if (!(Server == rhs.Server))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -232,7 +262,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallReply__isset {
-  _CallReply__isset() : CallId(false), Result(false), HttpStatus(false), Body(false), Headers(false), Queued(false), BusySlots(false), Slots(false), QueueMicros(false), ServiceMicros(false), Server(false) {}
+  _CallReply__isset() : CallId(false), Result(false), HttpStatus(false), Body(false), Headers(false), Queued(false), BusySlots(false), Slots(false), QueueMicros(false), ServiceMicros(false), Server(false), SlotMicros(false), FailurePercent(false) {}
   bool CallId :1;
   bool Result :1;
   bool HttpStatus :1;
@@ -244,6 +274,8 @@
   bool QueueMicros :1;
   bool ServiceMicros :1;
   bool Server :1;
+  bool SlotMicros :1;
+  bool FailurePercent :1;
 } _CallReply__isset;
 
 class CallReply : public virtual ::apache::thrift::TBase {
@@ -261,7 +293,9 @@
               Slots(0),
               QueueMicros(0),
               ServiceMicros(0),
-              Server() {
+              Server(),
+              SlotMicros(0),
+              FailurePercent(0) {
   }
 
   virtual ~CallReply() noexcept;
@@ -276,6 +310,8 @@
   int64_t QueueMicros;
   int64_t ServiceMicros;
   std::string Server;
+  int64_t SlotMicros;
+  int32_t FailurePercent;
 
   _CallReply__isset __isset;
 
@@ -301,6 +337,10 @@
 
   void __set_Server(const std::string& val);
 
+  void __set_SlotMicros(const int64_t val);
+
+  void __set_FailurePercent(const int32_t val);
+
   bool operator == (const CallReply & rhs) const
   {
     if (!(CallId == rhs.CallId))
@@ -325,6 +365,10 @@
       return false;
     if (!(Server == rhs.Server))
       return false;
+    if (!(SlotMicros == rhs.SlotMicros))
+      return false;
+    if (!(FailurePercent == rhs.FailurePercent))
+      return false;
     return true;
   }
   bool operator != (const CallReply &rhs) const {
--- a/Source/Core/Wire/Zinnia.thrift
+++ b/Source/Core/Wire/Zinnia.thrift
@@ -24,6 +24,10 @@
   12: string Caller,
   13: i64 ConfigVersion,
   14: bool Idempotent,
+  15: i64 TargetMicros,
+  16: i32 Priority,
+  17: optional i64 WaitLimitMicros,
+  18: string Server,
 }
 
 struct CallReply {
@@ -38,6 +42,8 @@
   9: i64 QueueMicros,
   10: i64 ServiceMicros,
   11: string Server,
+  12: i64 SlotMicros,
+  13: i32 FailurePercent,
 }
 
 struct CancelCall {
--- a/Source/Programs/zinnia-node/Main.cpp
+++ b/Source/Programs/zinnia-node/Main.cpp
@@ -39,7 +39,17 @@
   Kernel::Host Running = Node::NodeBuilder().settings(Settings).build();
   Running.start();
   spdlog::info("node {} in {} started", Settings.Name, Settings.DataCentre);
-  Running.waitForStopSignal();
+  // No setting of a node changes while it runs; a faulty file is told before
+  // the next start needs it.
+  Running.waitForStopSignal([&File] {
+    try {
+      Node::readNodeSettings(readSettings(File));
+      spdlog::info("{}: settings are sound; they hold from the next start",
+                   File);
+    } catch (const Common::Error &Refused) {
+      spdlog::error("the settings of the start stay: {}", Refused.what());
+    }
+  });
   Running.stop(Settings.DrainLimit);
   spdlog::info("node {} stopped", Settings.Name);
   return 0;
--- a/Source/StandIns/Log/LogService.cpp
+++ b/Source/StandIns/Log/LogService.cpp
@@ -8,7 +8,7 @@
 
 namespace StandIns {
 
-using Platform::Offset;
+using OwnLog::Offset;
 
 namespace {
 
@@ -161,7 +161,7 @@
     Reply.Status = 410;
   else
     Reply.Body =
-        Platform::formatRecords(Store.read(Stream, From, MaxRecordsInAnswer));
+        OwnLog::formatRecords(Store.read(Stream, From, MaxRecordsInAnswer));
   answer(Id, std::move(Reply));
 }
 
--- a/Source/StandIns/Log/LogService.h
+++ b/Source/StandIns/Log/LogService.h
@@ -45,7 +45,7 @@
   struct WaitingRead {
     Http::ExchangeId Exchange = 0;
     std::string Stream;
-    Platform::Offset From = 0;
+    OwnLog::Offset From = 0;
     Kernel::TimerId Timer = 0;
   };
 
@@ -56,7 +56,7 @@
             const std::string &Target);
   bool isOverLimit();
   void answerRead(Http::ExchangeId Id, const std::string &Stream,
-                  Platform::Offset From);
+                  OwnLog::Offset From);
   void answer(Http::ExchangeId Id, Http::Response Reply);
   void wakeReaders(const std::string &Stream);
   Http::Response setFaults(const std::string &Body);
--- a/Source/StandIns/Log/LogStore.cpp
+++ b/Source/StandIns/Log/LogStore.cpp
@@ -4,7 +4,7 @@
 
 namespace StandIns {
 
-using Platform::Offset;
+using OwnLog::Offset;
 
 Offset LogStore::append(const std::string &Stream, std::string Content,
                         Common::WallTime Now) {
@@ -20,10 +20,10 @@
       State.Records.pop_front();
 }
 
-std::vector<Platform::LogRecord> LogStore::read(const std::string &Stream,
-                                                Offset From,
-                                                std::size_t Limit) const {
-  std::vector<Platform::LogRecord> Result;
+std::vector<OwnLog::LogRecord> LogStore::read(const std::string &Stream,
+                                              Offset From,
+                                              std::size_t Limit) const {
+  std::vector<OwnLog::LogRecord> Result;
   const auto Found = Streams.find(Stream);
   if (Found == Streams.end())
     return Result;
--- a/Source/StandIns/Log/LogStore.h
+++ b/Source/StandIns/Log/LogStore.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "Common/Time.h"
-#include "Platform/LogClient.h"
+#include "OwnLog/LogClient.h"
 
 namespace StandIns {
 
@@ -15,21 +15,20 @@
 public:
   explicit LogStore(Common::Duration Retention) : Retention(Retention) {}
 
-  Platform::Offset append(const std::string &Stream, std::string Content,
-                          Common::WallTime Now);
+  OwnLog::Offset append(const std::string &Stream, std::string Content,
+                        Common::WallTime Now);
   void expire(Common::WallTime Now);
 
   // At most Limit records from From on.
-  std::vector<Platform::LogRecord> read(const std::string &Stream,
-                                        Platform::Offset From,
-                                        std::size_t Limit) const;
-  Platform::Offset first(const std::string &Stream) const;
-  Platform::Offset next(const std::string &Stream) const;
+  std::vector<OwnLog::LogRecord>
+  read(const std::string &Stream, OwnLog::Offset From, std::size_t Limit) const;
+  OwnLog::Offset first(const std::string &Stream) const;
+  OwnLog::Offset next(const std::string &Stream) const;
 
 private:
   struct StreamState {
-    std::deque<Platform::LogRecord> Records;
-    Platform::Offset Next = 1;
+    std::deque<OwnLog::LogRecord> Records;
+    OwnLog::Offset Next = 1;
   };
 
   Common::Duration Retention;
--- a/Source/UnitTests/Config/ObjectSetTests.cpp
+++ b/Source/UnitTests/Config/ObjectSetTests.cpp
@@ -39,10 +39,10 @@
                                   "[route w]\nprefix = /p/q/\nmethod = POST\n"
                                   "service = s\nkind = k\n")
           .build();
-  BOOST_TEST(Set->findRoute("GET", "/p/x")->Name == "p");
-  BOOST_TEST(Set->findRoute("GET", "/p/q/x")->Name == "q");
-  BOOST_TEST(Set->findRoute("POST", "/p/q/x")->Name == "w");
-  BOOST_TEST(!Set->findRoute("GET", "/other"));
+  BOOST_TEST(Set->findRoute("", "GET", "/p/x")->Name == "p");
+  BOOST_TEST(Set->findRoute("", "GET", "/p/q/x")->Name == "q");
+  BOOST_TEST(Set->findRoute("", "POST", "/p/q/x")->Name == "w");
+  BOOST_TEST(!Set->findRoute("", "GET", "/other"));
 }
 
 BOOST_AUTO_TEST_CASE(CanonicalTextReadsBackTheSame) {
--- a/Source/UnitTests/FakeLog.h
+++ b/Source/UnitTests/FakeLog.h
@@ -30,15 +30,14 @@
   std::string url() const {
     return "http://127.0.0.1:" + std::to_string(Listener->port());
   }
-  Platform::Offset append(const std::string &Stream,
-                          const std::string &Content) {
-    Platform::Offset At = 0;
+  OwnLog::Offset append(const std::string &Stream, const std::string &Content) {
+    OwnLog::Offset At = 0;
     Worker.runAndWait(
         [&] { At = Store.append(Stream, Content, Common::WallTime()); });
     return At;
   }
-  Platform::Offset next(const std::string &Stream) {
-    Platform::Offset At = 0;
+  OwnLog::Offset next(const std::string &Stream) {
+    OwnLog::Offset At = 0;
     Worker.runAndWait([&] { At = Store.next(Stream); });
     return At;
   }
@@ -66,7 +65,7 @@
       return;
     }
     const std::size_t Begin = Asked.Target.find("from=") + 5;
-    Platform::Offset From = 0;
+    OwnLog::Offset From = 0;
     std::from_chars(Asked.Target.data() + Begin,
                     Asked.Target.data() + Asked.Target.size(), From);
     Http::Response Reply;
@@ -74,7 +73,7 @@
     Reply.Fields["x-next-offset"] = std::to_string(Store.next(Name));
     Reply.Status = From < Store.first(Name) ? 410 : 200;
     if (Reply.Status == 200)
-      Reply.Body = Platform::formatRecords(Store.read(Name, From, 1000));
+      Reply.Body = OwnLog::formatRecords(Store.read(Name, From, 1000));
     Listener->answer(Id, std::move(Reply));
   }
 
--- /dev/null
+++ b/Source/UnitTests/Membership/JoiningTests.cpp
@@ -0,0 +1,89 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Membership/AnnouncementGate.h"
+#include "Membership/Introducer.h"
+
+BOOST_AUTO_TEST_SUITE(Joining)
+
+namespace {
+
+using namespace Membership;
+using Common::Millis;
+using Common::ResultCode;
+
+Announcement announcement(const std::string &Server, Millis Born,
+                          std::int64_t Sequence, bool Leaving = false) {
+  Announcement Result;
+  Result.Server = {"s", Server, 6, Leaving};
+  Result.Born = Common::WallTime(Born);
+  Result.Sequence = Sequence;
+  return Result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(TakesAnnouncementsInTheirOrderAlone) {
+  AnnouncementGate Gate;
+  BOOST_TEST((Gate.take(announcement("a", Millis(5), 2)) == ResultCode::Ok));
+  BOOST_TEST((Gate.take(announcement("a", Millis(5), 1)) ==
+              ResultCode::HeartbeatStale));
+  BOOST_TEST((Gate.take(announcement("a", Millis(5), 3)) == ResultCode::Ok));
+}
+
+BOOST_AUTO_TEST_CASE(KeepsToLeavingUntilTheNextLife) {
+  AnnouncementGate Gate;
+  Gate.take(announcement("a", Millis(5), 1));
+  Gate.take(announcement("a", Millis(5), 2, true));
+  BOOST_TEST((Gate.take(announcement("a", Millis(5), 3)) ==
+              ResultCode::HeartbeatStale));
+  // The same name begins a new life with new counts.
+  BOOST_TEST((Gate.take(announcement("a", Millis(9), 0)) == ResultCode::Ok));
+  BOOST_TEST(Gate.leave("a"));
+  BOOST_TEST((Gate.take(announcement("a", Millis(9), 1)) ==
+              ResultCode::HeartbeatStale));
+  BOOST_TEST(!Gate.leave("b"));
+}
+
+BOOST_AUTO_TEST_CASE(IgnoresAnEarlierServerAtTheSamePlace) {
+  AnnouncementGate Gate;
+  Gate.take(announcement("new", Millis(9), 1));
+  BOOST_TEST((Gate.take(announcement("old", Millis(5), 70)) ==
+              ResultCode::HeartbeatStale));
+}
+
+BOOST_AUTO_TEST_CASE(AnnouncesBeforeItLists) {
+  Introducer Tested("here", 1);
+  Common::SteadyTime Now{Millis(1000)};
+  BOOST_TEST((Tested.next(Now) == DirectoryStep::Announce));
+  BOOST_TEST((Tested.next(Now) == DirectoryStep::None));
+  Tested.announced(true, Now);
+  BOOST_TEST((Tested.next(Now) == DirectoryStep::List));
+  const auto Seeds = Tested.listed(
+      true, {{"a", "here", {"1", 1}}, {"b", "there", {"2", 2}}}, Now);
+  BOOST_TEST(Seeds.size() == 2U);
+  Tested.membersKnown(3);
+  Now += Millis(60'000);
+  BOOST_TEST((Tested.next(Now) == DirectoryStep::None));
+}
+
+BOOST_AUTO_TEST_CASE(TriesAgainWhileTheDirectoryIsAwayAndWhenAlone) {
+  Introducer Tested("here", 1);
+  Common::SteadyTime Now{Millis(1000)};
+  int Calls = 0;
+  for (int Step = 0; Step < 100; ++Step, Now += Millis(100))
+    if (Tested.next(Now) == DirectoryStep::Announce) {
+      ++Calls;
+      Tested.announced(false, Now);
+    }
+  BOOST_TEST(Calls >= 3);
+  BOOST_TEST(Calls <= 15);
+  Now += Millis(10'000);
+  BOOST_TEST((Tested.next(Now) == DirectoryStep::Announce));
+  Tested.announced(true, Now);
+  Tested.membersKnown(2);
+  BOOST_TEST((Tested.next(Now) == DirectoryStep::None));
+  Tested.membersKnown(1);
+  BOOST_TEST((Tested.next(Now) == DirectoryStep::List));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/RawSocket.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Common/Time.h"
+#include "Common/UniqueFd.h"
+
+namespace UnitTests {
+
+// A blocking TCP socket on loopback, for what no HTTP library would send.
+class RawSocket {
+public:
+  explicit RawSocket(int Port) : Fd(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Where = {};
+    Where.sin_family = AF_INET;
+    Where.sin_port = htons(static_cast<std::uint16_t>(Port));
+    Where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Connected = ::connect(Fd.value(), reinterpret_cast<sockaddr *>(&Where),
+                          sizeof Where) == 0;
+  }
+
+  bool isConnected() const { return Connected; }
+
+  void send(std::string_view Bytes) const {
+    while (!Bytes.empty()) {
+      const ssize_t Count =
+          ::send(Fd.value(), Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+      if (Count <= 0)
+        return;
+      Bytes.remove_prefix(static_cast<std::size_t>(Count));
+    }
+  }
+
+  // Reads until Text has come, the peer closes or Limit has passed.
+  std::string readUntil(std::string_view Text,
+                        Common::Millis Limit = Common::Millis(5000)) {
+    const auto End = std::chrono::steady_clock::now() + Limit;
+    while (Received.find(Text) == std::string::npos && readSome(End)) {
+    }
+    return Received;
+  }
+
+  // Whether the peer closes within Limit.
+  bool isClosed(Common::Millis Limit = Common::Millis(5000)) {
+    const auto End = std::chrono::steady_clock::now() + Limit;
+    while (readSome(End)) {
+    }
+    return Closed;
+  }
+
+  void close() { Fd.reset(); }
+
+private:
+  bool readSome(Common::SteadyTime End) {
+    const auto Left = std::chrono::duration_cast<Common::Millis>(
+        End - std::chrono::steady_clock::now());
+    pollfd Wanted = {Fd.value(), POLLIN, 0};
+    if (Left.count() <= 0 ||
+        ::poll(&Wanted, 1, static_cast<int>(Left.count())) <= 0)
+      return false;
+    char Chunk[4096];
+    const ssize_t Count = ::recv(Fd.value(), Chunk, sizeof Chunk, 0);
+    if (Count <= 0) {
+      Closed = true;
+      return false;
+    }
+    Received.append(Chunk, static_cast<std::size_t>(Count));
+    return true;
+  }
+
+  Common::UniqueFd Fd;
+  bool Connected = false;
+  bool Closed = false;
+  std::string Received;
+};
+
+} // namespace UnitTests
--- /dev/null
+++ b/Source/UnitTests/Routing/RedirectTests.cpp
@@ -0,0 +1,200 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Config/ObjectSetBuilder.h"
+#include "Routing/Dispatcher.h"
+#include "Routing/ExpectedTimeChoice.h"
+
+BOOST_AUTO_TEST_SUITE(Redirects)
+
+namespace {
+
+using Common::Millis;
+using Common::ResultCode;
+using namespace Routing;
+
+constexpr MeshRetryLimit Limit{0.2, std::chrono::seconds(10), 40, 1};
+
+Config::ObjectSetPtr makeSet() {
+  return Config::ObjectSetBuilder()
+      .input("f", "[service s]\n[service t]\n"
+                  "[retry r]\nattempts = 2\nredirects = 3\n"
+                  "[kind read]\nidempotent = yes\ndeadline = 1s\n"
+                  "target-latency = 400ms\nretry = r\n"
+                  "[kind write]\nidempotent = no\ndeadline = 1s\nretry = r\n"
+                  "[route a]\nprefix = /read/\nhost = h\nservice = s\n"
+                  "kind = read\n"
+                  "[route b]\nprefix = /write/\nhost = h\nservice = s\n"
+                  "kind = write\n"
+                  "[route c]\nprefix = /split/\nhost = h\n"
+                  "split = s:90 t:10\nkind = read\n")
+      .build();
+}
+
+struct Node {
+  Dispatcher<ExpectedTimeChoice, ServiceBudgets> Calls{
+      "here", ExpectedTimeChoice(1), 1000, ServiceBudgets(Limit)};
+  Common::SteadyTime Now{Millis(100'000)};
+  CallId NextCall = 1;
+
+  Node() {
+    Calls.useSet(1, makeSet());
+    auto View = std::make_shared<ServerView>();
+    for (const char *Service : {"s", "t"})
+      for (int Index = 0; Index < 3; ++Index) {
+        const std::string Name = Service + std::to_string(Index);
+        View->ByService[Service].push_back({Name, "n" + Name, "here", 6});
+      }
+    Calls.useServers(View, Now);
+  }
+
+  DispatchActions begin(const std::string &Path,
+                        const std::string &Host = "h") {
+    CallStart Start;
+    Start.Call = NextCall++;
+    Start.Host = Host;
+    Start.Path = Path;
+    return Calls.begin(std::move(Start), Now);
+  }
+  DispatchActions answer(const DispatchActions &To, ResultCode Code,
+                         int Status = 200, int Queued = 0) {
+    const auto &Sent = std::get<SendAttempt>(To.back());
+    CallReply Reply;
+    Reply.Attempt = Sent.Request.Attempt;
+    Reply.Result = Code;
+    Reply.HttpStatus = Status;
+    Reply.Load.Slots = 6;
+    Reply.Load.BusySlots = Queued > 0 ? 6 : 0;
+    Reply.Load.Queued = Queued;
+    Reply.Load.SlotTime = Millis(60);
+    return Calls.reply(Reply, Now);
+  }
+};
+
+const std::string &serverOf(const DispatchActions &Actions) {
+  return std::get<SendAttempt>(Actions.back()).Request.Server;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(OffersACallToOtherNodesBeforeItWaits) {
+  Node Tested;
+  const DispatchActions First = Tested.begin("/write/1");
+  BOOST_TEST(std::get<SendAttempt>(First.back()).Request.WaitLimit.has_value());
+  const auto Second = Tested.answer(First, ResultCode::WouldWait, 0, 9);
+  const auto Third = Tested.answer(Second, ResultCode::WouldWait, 0, 3);
+  BOOST_TEST(serverOf(First) != serverOf(Second));
+  BOOST_TEST(serverOf(Third) != serverOf(Second));
+  // All are busy: it waits at the one with the shortest queue.
+  const auto Last = Tested.answer(Third, ResultCode::WouldWait, 0, 8);
+  BOOST_TEST(serverOf(Last) == serverOf(Second));
+  BOOST_TEST(!std::get<SendAttempt>(Last.back()).Request.WaitLimit);
+}
+
+BOOST_AUTO_TEST_CASE(TellsARefusedCallerWhenToComeBack) {
+  Node Tested;
+  auto Step = Tested.begin("/write/1");
+  for (int Count = 0; Count < 3; ++Count)
+    Step = Tested.answer(Step, ResultCode::WouldWait, 0, 30);
+  Step = Tested.answer(Step, ResultCode::DeadlineTooClose, 0, 30);
+  const auto &Answer = std::get<AnswerCaller>(Step.back());
+  BOOST_TEST((Answer.Reply.Result == ResultCode::DeadlineTooClose));
+  BOOST_REQUIRE(Answer.ComeBackAfter);
+  BOOST_TEST((*Answer.ComeBackAfter >= Millis(100)));
+  BOOST_TEST((*Answer.ComeBackAfter <= Millis(1000)));
+}
+
+BOOST_AUTO_TEST_CASE(RefusalsOfNodesTakeNothingFromTheBudget) {
+  Node Tested;
+  for (int Count = 0; Count < 200; ++Count) {
+    const auto First = Tested.begin("/write/1");
+    const auto Second = Tested.answer(First, ResultCode::WouldWait, 0, 9);
+    Tested.answer(Second, ResultCode::Ok);
+  }
+  const auto First = Tested.begin("/read/1");
+  const auto Second = Tested.answer(First, ResultCode::OutcomeUnknown);
+  BOOST_TEST(serverOf(First) != serverOf(Second));
+}
+
+BOOST_AUTO_TEST_CASE(TriesAServerErrorElsewhereOnlyForIdempotentCalls) {
+  Node Tested;
+  const auto Read = Tested.begin("/read/1");
+  const auto Again = Tested.answer(Read, ResultCode::Ok, 500);
+  BOOST_TEST(std::holds_alternative<SendAttempt>(Again.back()));
+  const auto Write = Tested.begin("/write/1");
+  const auto Ended = Tested.answer(Write, ResultCode::Ok, 500);
+  BOOST_TEST(std::get<AnswerCaller>(Ended.back()).Reply.HttpStatus == 500);
+}
+
+BOOST_AUTO_TEST_CASE(GivesTheServersOwnAnswerWhenASecondOneFailsToo) {
+  Node Tested;
+  const auto Read = Tested.begin("/read/1");
+  const auto Again = Tested.answer(Read, ResultCode::Ok, 500);
+  const auto Ended = Tested.answer(Again, ResultCode::ConnectionLost);
+  BOOST_TEST(std::get<AnswerCaller>(Ended.back()).Reply.HttpStatus == 500);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsTheMeshWithinItsRetryLimit) {
+  Node Tested;
+  int Extra = 0;
+  for (int Count = 0; Count < 500; ++Count) {
+    Tested.Now += Millis(10);
+    const auto First = Tested.begin("/read/1");
+    const auto Second = Tested.answer(First, ResultCode::OutcomeUnknown);
+    if (std::holds_alternative<SendAttempt>(Second.back()))
+      ++Extra;
+  }
+  BOOST_TEST(Extra > 0);
+  BOOST_TEST(Extra <= 500 * Limit.Ratio + Limit.Slack);
+}
+
+BOOST_AUTO_TEST_CASE(SharesCallsAmongTheServicesOfARoute) {
+  Node Tested;
+  int Minor = 0;
+  for (int Count = 0; Count < 100; ++Count) {
+    const auto Sent = Tested.begin("/split/1");
+    Minor += std::get<SendAttempt>(Sent.back()).Request.Service == "t" ? 1 : 0;
+    Tested.answer(Sent, ResultCode::Ok);
+  }
+  BOOST_TEST(Minor == 10);
+}
+
+BOOST_AUTO_TEST_CASE(RoutesByHost) {
+  Node Tested;
+  const auto Other = Tested.begin("/read/1", "other");
+  BOOST_TEST((std::get<AnswerCaller>(Other.back()).Reply.Result ==
+              ResultCode::NoRoute));
+}
+
+BOOST_AUTO_TEST_CASE(CancelsWhatACallerHasLeft) {
+  Node Tested;
+  const auto Sent = Tested.begin("/read/1");
+  const auto Gone = Tested.Calls.callerGone(1, Tested.Now);
+  BOOST_TEST(std::holds_alternative<CancelAttempt>(Gone.front()));
+  BOOST_TEST(Tested.Calls.openCalls() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(LeavesSlowAndFailingServers) {
+  ExpectedTimeChoice Choice(3);
+  ServerRecords Records;
+  ServerView View;
+  for (const char *Name : {"slow", "grey", "good"})
+    View.ByService["s"].push_back({Name, Name, "here", 6});
+  const Common::SteadyTime Now{Millis(1000)};
+  Records.useServers(View, Now);
+  for (const ServerEntry &Each : View.ByService["s"]) {
+    CallReply Reply;
+    Reply.Load.Slots = 6;
+    Reply.Load.SlotTime = Each.Server == "slow" ? Millis(500) : Millis(100);
+    Reply.Load.FailurePercent = Each.Server == "grey" ? 45 : 0;
+    Records.attemptSent(Each.Server, "k", Now);
+    Records.attemptEnded(Each.Server, {Now, "k", &Reply}, Now);
+  }
+  const std::set<std::string> None;
+  for (int Count = 0; Count < 20; ++Count) {
+    const auto Chosen =
+        Choice.choose({View.ByService["s"], Records, "here", None, Now, "k"});
+    BOOST_TEST(View.ByService["s"][*Chosen].Server == "good");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tools/format.sh
+++ b/Tools/format.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 Mode=(-i)
 [ "${1:-}" = --check ] && Mode=(--dry-run --Werror)
-find Source \( -name '*.h' -o -name '*.cpp' \) -not -path '*/Generated/*' \
+find Source platform \( -name '*.h' -o -name '*.cpp' \) -not -path '*/Generated/*' \
   -print0 | xargs -0 clang-format "${Mode[@]}"
--- a/Tools/install-packages.sh
+++ b/Tools/install-packages.sh
@@ -8,6 +8,7 @@
   libace-dev libthrift-dev thrift-compiler
   libboost-dev libboost-test-dev
   libcurl4-openssl-dev libmicrohttpd-dev
+  nlohmann-json3-dev
   libpopt-dev libspdlog-dev libinih-dev liblua5.4-dev
   libxxhash-dev libzstd-dev
 )
--- a/Tools/lint.sh
+++ b/Tools/lint.sh
@@ -8,15 +8,15 @@
 mkdir -p "$Cache"
 Files=("$@")
 if [ ${#Files[@]} -eq 0 ]; then
-  mapfile -t Files < <(find Source -name '*.cpp' -not -path '*/Generated/*')
+  mapfile -t Files < <(find Source platform -name '*.cpp' -not -path '*/Generated/*')
 fi
 
 lint_one() {
   local File=$1 Key Depends
   # The project's own headers that the file includes, directly or not.
-  Depends=$(clang++ -std=c++20 -MM -MG -ISource/Core -ISource \
+  Depends=$(clang++ -std=c++20 -MM -MG -ISource/Core -ISource -Iplatform \
     -ISource/Core/Wire/Generated -DZINNIA_VERSION='""' "$File" 2>/dev/null |
-    tr -d '\\\n' | tr ' ' '\n' | grep '^Source/' | sort -u)
+    tr -d '\\\n' | tr ' ' '\n' | grep -E '^(Source|platform)/' | sort -u)
   Key=$(cat .clang-tidy $Depends | sha256sum | cut -c1-32)
   [ -e "$Cache/$Key" ] && return 0
   if clang-tidy -p "$Build" --quiet "$File" 2>/dev/null; then
