--- a/Source/Core/Admission/Ticket.h
+++ b/Source/Core/Admission/Ticket.h
@@ -26,6 +26,8 @@
   int Priority = 0;
   // Until then the answer is worth most.
   Common::SteadyTime Target = {};
+  // The whole time that its kind has to be in time; 0 when it isn't stated.
+  Common::Micros TargetLength = Common::Micros(0);
   // A longer wait than this is refused at once.
   std::optional<Common::Micros> WaitLimit = {};
 };
--- a/Source/Core/Admission/ValueOrder.cpp
+++ b/Source/Core/Admission/ValueOrder.cpp
@@ -10,6 +10,9 @@
 
 // The share of a new time in the mean is 1 / MeanCount.
 constexpr int MeanCount = 12;
+// Calls that wait for longer than this without a break show that demand is
+// above capacity, and not just a moment's clump.
+constexpr Common::Millis LastingWait{600};
 
 } // namespace
 
@@ -22,11 +25,18 @@
       Actions.push_back(RefuseCall{Call.Id, ResultCode::WouldWait});
       return;
     }
-    if (Now + Wait + usualTime(Call) > Call.Deadline) {
+    const Common::SteadyTime Ends = Now + Wait + usualTime(Call);
+    if (Ends > Call.Deadline) {
       Actions.push_back(RefuseCall{Call.Id, ResultCode::DeadlineTooClose});
       return;
     }
+    if (Ends > Call.Target && isOverloaded(Now)) {
+      Actions.push_back(RefuseCall{Call.Id, ResultCode::QueueFull});
+      return;
+    }
   }
+  if (Waiting.empty())
+    WaitingSince = Now;
   Waiting.push_back(Call);
   if (Waiting.size() <= MaxWaitingPerSlot * static_cast<std::size_t>(Use.Slots))
     return;
@@ -63,9 +73,15 @@
     // A call that has just come is tried, so that wrong estimates mend.
     const bool Waited = Call.Arrived < Now;
     const Common::Micros Needed = Waited ? usualTime(Call) : Common::Micros(0);
-    if (Now + Needed < Call.Deadline)
+    const bool IsHopeless = Now + Needed >= Call.Deadline;
+    // Calls that are in time go first as long as the overload lasts, so that
+    // those which are late would only be held in vain.
+    const bool IsLate = Waited && isOverloaded(Now) && !meetsTarget(Call, Now);
+    if (!IsHopeless && !IsLate)
       return false;
-    Actions.push_back(RefuseCall{Call.Id, ResultCode::DeadlineTooClose});
+    Actions.push_back(RefuseCall{Call.Id, IsHopeless
+                                              ? ResultCode::DeadlineTooClose
+                                              : ResultCode::QueueFull});
     return true;
   });
 }
@@ -88,30 +104,42 @@
   return Times.usual(Call.Kind).value_or(Common::Micros(0));
 }
 
+bool ValueOrder::isOverloaded(Common::SteadyTime Now) const {
+  return !Waiting.empty() && WaitingSince && Now - *WaitingSince > LastingWait;
+}
+
 bool ValueOrder::meetsTarget(const Ticket &Call, Common::SteadyTime Now) const {
   return Now + usualTime(Call) <= Call.Target;
 }
 
 bool ValueOrder::precedes(const Ticket &Left, const Ticket &Right,
                           Common::SteadyTime Now) const {
-  if (Left.Priority != Right.Priority)
-    return Left.Priority < Right.Priority;
   const bool LeftInTime = meetsTarget(Left, Now);
   if (LeftInTime != meetsTarget(Right, Now))
     return LeftInTime;
-  return LeftInTime ? Left.Target < Right.Target
-                    : Left.Deadline < Right.Deadline;
+  if (!LeftInTime)
+    return Left.Deadline < Right.Deadline;
+  if (Left.TargetLength != Right.TargetLength)
+    return Left.TargetLength < Right.TargetLength;
+  if (Left.Priority != Right.Priority)
+    return Left.Priority < Right.Priority;
+  return Left.Target < Right.Target;
 }
 
 Common::Micros ValueOrder::expectedWait(const Ticket &Call, const SlotUse &Use,
                                         Common::SteadyTime Now) const {
-  const auto Ahead =
-      std::count_if(Waiting.begin(), Waiting.end(), [&](const Ticket &Each) {
-        return precedes(Each, Call, Now);
+  Common::Micros Ahead{0};
+  for (const Ticket &Each : Waiting)
+    if (precedes(Each, Call, Now))
+      Ahead += Times.usual(Each.Kind).value_or(Mean);
+  if (!Use.hasFreeSlot())
+    Ahead += Mean;
+  // Calls of tighter kinds go on taking about as many slots as they have now.
+  const auto Tighter = std::count_if(
+      Use.Running.begin(), Use.Running.end(), [&](const auto &Each) {
+        return Each.second.Admitted.TargetLength < Call.TargetLength;
       });
-  const int Free = Use.Slots - static_cast<int>(Use.Running.size());
-  const std::int64_t Rounds = std::max<std::int64_t>(Ahead + 1 - Free, 0);
-  return Mean * Rounds / std::max(Use.Slots, 1);
+  return Ahead / std::max<std::int64_t>(Use.Slots - Tighter, 1);
 }
 
 } // namespace Admission
--- a/Source/Core/Admission/ValueOrder.h
+++ b/Source/Core/Admission/ValueOrder.h
@@ -7,14 +7,20 @@
 
 namespace Admission {
 
-// Serves by what an answer is still worth: the most urgent kinds first, within
-// a kind the calls that can still meet their latency target, the earliest
-// target first; calls that missed theirs take what room is left. A call that
-// cannot end by its deadline is refused at once.
+// Serves by what an answer is still worth: first the calls that can still meet
+// their latency target, those of the kinds with the tightest targets before
+// the others (deadline-monotonic), then the more urgent ones; calls that missed
+// their target take what room is left. A call that cannot end by its deadline
+// is refused at once.
+//
+// Kinds with tight targets are mostly calls that running requests make: while
+// one waits, its request holds a slot of another server, and when it fails,
+// the work of that request is lost.
 //
 // Load pattern: demand above capacity for seconds. In order of arrival every
 // call would wait until just past its target, and hardly any answer would be
-// worth much; here those that cannot make it give way to those that can.
+// worth much; here those that cannot make it give way to those that can, and
+// are told so at once.
 class ValueOrder {
 public:
   void add(const Ticket &Call, const SlotUse &Use, Common::SteadyTime Now,
@@ -29,6 +35,7 @@
 
 private:
   Common::Micros usualTime(const Ticket &Call) const;
+  bool isOverloaded(Common::SteadyTime Now) const;
   bool meetsTarget(const Ticket &Call, Common::SteadyTime Now) const;
   bool precedes(const Ticket &Left, const Ticket &Right,
                 Common::SteadyTime Now) const;
@@ -37,6 +44,8 @@
 
   std::vector<Ticket> Waiting;
   ServiceTimes Times;
+  // Since when calls have been waiting without a break.
+  std::optional<Common::SteadyTime> WaitingSince;
   // Mean time that calls of all kinds hold a slot.
   Common::Micros Mean{0};
 };
--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -243,7 +243,7 @@
 
 std::size_t EdgeServer::openExchanges() const { return Self->Exchanges.size(); }
 
-void EdgeServer::answer(ExchangeId Exchange, Response Reply) {
+void EdgeServer::answer(ExchangeId Exchange, const Response &Reply) {
   const auto Known = Self->Exchanges.extract(Exchange);
   if (Known.empty())
     return;
--- a/Source/Core/Http/EdgeServer.h
+++ b/Source/Core/Http/EdgeServer.h
@@ -29,7 +29,7 @@
   int port() const;
   std::size_t openExchanges() const;
   // An id that is no longer open is ignored: its caller is gone.
-  void answer(ExchangeId Exchange, Response Reply);
+  void answer(ExchangeId Exchange, const Response &Reply);
   // Holds for requests that begin later.
   void useLimits(const EdgeLimits &Limits);
   // From now on every answer is the last one of its connection.
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -41,6 +41,7 @@
   void handle(Message Content) {
     std::visit([this](auto &Part) { this->take(Part); }, Content);
     armExpiry();
+    shareLoad();
   }
 
   // Runs what was admitted to its end; new calls are refused as not run.
@@ -94,6 +95,7 @@
                      .Arrived = Opened.Arrived,
                      .Priority = Opened.Request.Priority,
                      .Target = Opened.Arrived + Opened.Request.TargetLeft,
+                     .TargetLength = Opened.Request.TargetLength,
                      .WaitLimit = Opened.Request.WaitLimit},
                     now()));
   }
@@ -192,9 +194,22 @@
     // The next call takes the slot before the answer is written out.
     act(Queue.finished(Id, now(), endingOf(Reply.Result)));
     reply(Id, std::move(Reply));
+    shareLoad();
     finishDrain();
   }
 
+  Routing::ServerLoad load() const {
+    constexpr int Hundred = 100;
+    Routing::ServerLoad Result = Queue.load();
+    Result.FailurePercent = static_cast<int>(FailureShare * Hundred);
+    return Result;
+  }
+
+  void shareLoad() {
+    if (!Server.Server.empty())
+      ToPeers.post(ShareLoad{Server.Server, load()});
+  }
+
   static Admission::Ending endingOf(Common::ResultCode Result) {
     if (Result == Common::ResultCode::Ok)
       return Admission::Ending::Answered;
@@ -211,9 +226,7 @@
   void reply(Admission::TicketId Id, Routing::CallReply Reply) {
     const OpenCall &Call = Calls.at(Id);
     Reply.Attempt = Call.Request.Attempt;
-    Reply.Load = Queue.load();
-    constexpr int Hundred = 100;
-    Reply.Load.FailurePercent = static_cast<int>(FailureShare * Hundred);
+    Reply.Load = load();
     Reply.Server = Server.Server;
     ToPeers.post(SendReply{Call.Origin, std::move(Reply)});
     forget(Id);
--- a/Source/Core/Node/FrontService.h
+++ b/Source/Core/Node/FrontService.h
@@ -86,6 +86,7 @@
 private:
   struct OpenCall {
     std::string CorrelationId;
+    std::string Caller;
     Common::SteadyTime Arrived;
     // Known from the start for claimed calls alone.
     std::string Service;
@@ -112,6 +113,9 @@
     if constexpr (requires { Translation.useService(Part.Service); })
       Translation.useService(Part.Service);
   }
+  void take(const LoadHeard &Part) {
+    Calls.loadHeard(Part.Server, Part.Load, now());
+  }
   void take(ServersChanged &Part) { Calls.useServers(Part.Servers, now()); }
   void take(ReplyArrived &Part) { act(Calls.reply(Part.Reply, now())); }
   void take(NodeLost &Part) { act(Calls.connectionLost(Part.Address, now())); }
@@ -151,7 +155,8 @@
     Routing::CallStart Start = Translation.toCallStart(
         static_cast<Routing::CallId>(Id), std::move(Asked),
         Settings.Name + "-" + std::to_string(Id));
-    OpenCalls.emplace(Start.Call, OpenCall{Start.CorrelationId, now(), {}, {}});
+    OpenCalls.emplace(
+        Start.Call, OpenCall{Start.CorrelationId, Start.Caller, now(), {}, {}});
     if (Draining) {
       Routing::CallReply Refused;
       Refused.Result = Common::ResultCode::Draining;
@@ -223,16 +228,30 @@
     if (Claimed.erase(Part.Call) > 0)
       Targets.ToClaims.post(ClaimedCallEnded{Part.Call, Part.Reply});
     const OpenCall Ended = std::move(OpenCalls.extract(Part.Call).mapped());
-    if (Part.Reply.Result != Common::ResultCode::Ok)
-      spdlog::info("call {}: {} {}", Ended.CorrelationId,
-                   Common::resultCodeNumber(Part.Reply.Result),
-                   Common::resultCodeName(Part.Reply.Result));
+    logEnd(Part, Ended);
     Listener->answer(static_cast<Http::ExchangeId>(Part.Call),
                      Translation.toResponse(Part, Ended.CorrelationId));
     sample(Part, Ended);
     finishDrain();
   }
 
+  static void logEnd(const Routing::AnswerCaller &Part, const OpenCall &Ended) {
+    spdlog::info(
+        "event=call id={} caller={} version={} service={} kind={} server={} "
+        "data-centre={} "
+        "attempts={} result={} {} status={} took-us={} queue-us={} "
+        "slot-us={} busy={}/{} waiting={}",
+        Ended.CorrelationId, Ended.Caller, Part.Number, Part.Service, Part.Kind,
+        Part.Reply.Server, Part.DataCentre, Part.Attempts,
+        Common::resultCodeNumber(Part.Reply.Result),
+        Common::resultCodeName(Part.Reply.Result), Part.Reply.HttpStatus,
+        std::chrono::duration_cast<Common::Micros>(now() - Ended.Arrived)
+            .count(),
+        Part.Reply.QueueTime.count(), Part.Reply.ServiceTime.count(),
+        Part.Reply.Load.BusySlots, Part.Reply.Load.Slots,
+        Part.Reply.Load.Queued);
+  }
+
   // Ends a call that never reached the Dispatcher.
   void answer(Routing::CallId Call, Routing::CallReply Reply) {
     Routing::AnswerCaller Answer;
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -59,8 +59,13 @@
 struct CallerNamed {
   std::string Service;
 };
-using FrontMessage = std::variant<ConfigAccepted, ServersChanged, ReplyArrived,
-                                  NodeLost, ClaimDecided, CallerNamed>;
+struct LoadHeard {
+  std::string Server;
+  Routing::ServerLoad Load;
+};
+using FrontMessage =
+    std::variant<ConfigAccepted, ServersChanged, ReplyArrived, NodeLost,
+                 ClaimDecided, CallerNamed, LoadHeard>;
 
 struct SendRequest {
   Routing::NodeAddress Address;
@@ -74,7 +79,13 @@
   OriginId Origin = LocalOrigin;
   Routing::CallReply Reply;
 };
-using PeersMessage = std::variant<SendRequest, SendCancel, SendReply>;
+// The load of the backend server beside this node has changed.
+struct ShareLoad {
+  std::string Server;
+  Routing::ServerLoad Load;
+};
+using PeersMessage =
+    std::variant<SendRequest, SendCancel, SendReply, ShareLoad>;
 
 struct RequestArrived {
   OriginId Origin = LocalOrigin;
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -12,6 +12,7 @@
 #include "Kernel/Host.h"
 #include "Membership/Backoff.h"
 #include "Membership/EchoMonitor.h"
+#include "Membership/LoadSharing.h"
 #include "Node/Messages.h"
 #include "Node/NodeSettings.h"
 #include "Wire/Codec.h"
@@ -70,6 +71,7 @@
   struct InboundConnection {
     std::unique_ptr<Wire::FrameSocket> Socket;
     Common::SteadyTime HeardAt;
+    Membership::LoadSharing Sharing{false};
   };
 
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
@@ -114,8 +116,32 @@
     }
     // A lost origin has no use for the answer.
     const auto Found = Inbound.find(Part.Origin);
-    if (Found != Inbound.end())
-      Found->second.Socket->send(Wire::encodeFrame(Part.Reply));
+    if (Found == Inbound.end())
+      return;
+    Found->second.Sharing.told(Part.Reply.Load, now());
+    Found->second.Socket->send(Wire::encodeFrame(Part.Reply));
+  }
+
+  void take(ShareLoad &Part) {
+    Targets.ToFront.post(LoadHeard{Part.Server, Part.Load});
+    Latest = std::move(Part);
+    shareLoad();
+  }
+
+  void shareLoad() {
+    if (Latest.Server.empty())
+      return;
+    const Common::SteadyTime Now = now();
+    std::string Encoded;
+    for (auto &[Origin, Each] : Inbound) {
+      if (!Each.Sharing.isDue(Latest.Load, Now))
+        continue;
+      if (Encoded.empty())
+        Encoded =
+            Wire::encodeFrame(Wire::LoadReport{Latest.Server, Latest.Load});
+      Each.Sharing.told(Latest.Load, Now);
+      Each.Socket->send(Encoded);
+    }
   }
 
   OutboundConnection &outbound(const Routing::NodeAddress &Address) {
@@ -152,6 +178,8 @@
     if (auto *Reply = std::get_if<Routing::CallReply>(&Content)) {
       From.Awaited.erase(Reply->Attempt);
       Targets.ToFront.post(ReplyArrived{std::move(*Reply)});
+    } else if (auto *Report = std::get_if<Wire::LoadReport>(&Content)) {
+      Targets.ToFront.post(LoadHeard{std::move(Report->Server), Report->Load});
     } else if (const auto *Echo = std::get_if<Wire::Echo>(&Content)) {
       if (Echo->IsAnswer)
         From.Monitor.answered(Echo->Sequence);
@@ -202,16 +230,26 @@
     InboundConnection &From = Inbound.at(Origin);
     From.HeardAt = now();
     Wire::Frame Content = Wire::decodeFrame(Bytes);
-    if (auto *Request = std::get_if<Routing::CallRequest>(&Content))
-      Targets.ToBackend.post(RequestArrived{Origin, std::move(*Request)});
+    if (const auto *Met = std::get_if<Wire::Hello>(&Content))
+      From.Sharing =
+          Membership::LoadSharing(Met->DataCentre == Settings.DataCentre);
+    else if (auto *Request = std::get_if<Routing::CallRequest>(&Content))
+      takeRequest(Origin, From, *Request);
     else if (const auto *Cancel = std::get_if<Wire::CancelCall>(&Content))
       Targets.ToBackend.post(CancelArrived{Origin, Cancel->Attempt});
     else if (const auto *Echo = std::get_if<Wire::Echo>(&Content))
       From.Socket->send(Wire::encodeFrame(Wire::Echo{Echo->Sequence, true}));
   }
 
+  void takeRequest(OriginId Origin, InboundConnection &From,
+                   Routing::CallRequest &Request) {
+    From.Sharing.called(now());
+    Targets.ToBackend.post(RequestArrived{Origin, std::move(Request)});
+  }
+
   void tick() {
     Clock.after(TickInterval, [this] { tick(); });
+    shareLoad();
     checkOutbound();
     checkInbound();
   }
@@ -257,6 +295,8 @@
   std::unordered_map<Routing::NodeAddress, Membership::Backoff> Backoffs;
   std::unordered_map<OriginId, InboundConnection> Inbound;
   std::mt19937_64 Random{std::random_device{}()};
+  // What was last heard of the backend server beside this node.
+  ShareLoad Latest;
   Common::SteadyTime LastCheck = now();
   OriginId NextOrigin = LocalOrigin + 1;
 };
--- a/Source/Core/Routing/Call.h
+++ b/Source/Core/Routing/Call.h
@@ -32,6 +32,8 @@
   int AttemptsLeft = 1;
   // Time left in which the answer is worth most; 0 when it isn't stated.
   Common::Micros TargetLeft{0};
+  // The whole of that time, as its kind has it.
+  Common::Micros TargetLength{0};
   // 0 is served first when there is too little room.
   int Priority = 0;
   // The far node refuses the call at once when it would wait for longer.
--- a/Source/Core/Routing/ChoicePolicy.h
+++ b/Source/Core/Routing/ChoicePolicy.h
@@ -24,6 +24,8 @@
   Common::SteadyTime Now;
   // The kind of the call that a server is chosen for.
   const std::string &Kind;
+  // Time in which the answer is worth most; 0 when it isn't stated.
+  Common::Micros TargetLeft = Common::Micros(0);
 };
 
 // Chooses the index of a server, or none.
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -85,6 +85,11 @@
   // The connection to a node is gone: its attempts have no answer to come.
   DispatchActions connectionLost(const NodeAddress &Node,
                                  Common::SteadyTime Now);
+  // A node told the load of its server without being called.
+  void loadHeard(const std::string &Server, const ServerLoad &Load,
+                 Common::SteadyTime Now) {
+    Records.loadHeard(Server, Load, Now);
+  }
   // The caller went away: nobody waits for the answer any more.
   DispatchActions callerGone(CallId Call, Common::SteadyTime Now);
   // Does what is due: hedges calls that take long, and ends those whose
@@ -344,9 +349,9 @@
     if (Found == Servers->ByService.end())
       continue;
     const std::vector<ServerEntry> &Candidates = Found->second;
-    const std::optional<std::size_t> Chosen =
-        Choice.choose({Candidates, Records, OwnDataCentre, Call.Excluded, Now,
-                       Call.Kind.Name});
+    const std::optional<std::size_t> Chosen = Choice.choose(
+        {Candidates, Records, OwnDataCentre, Call.Excluded, Now, Call.Kind.Name,
+         std::chrono::duration_cast<Common::Micros>(Call.Target - Now)});
     if (Chosen)
       return &Candidates[*Chosen];
   }
@@ -391,6 +396,7 @@
           : Call.Start.AttemptsLeft.value_or(UnlimitedAttempts);
   Request.TargetLeft =
       std::chrono::duration_cast<Common::Micros>(Call.Target - Now);
+  Request.TargetLength = Call.Kind.TargetLatency;
   Request.Priority = Call.Kind.Priority;
   Request.WaitLimit = waitLimit(Call);
   Request.LongLane = Call.Kind.LongLane;
@@ -514,6 +520,10 @@
 Dispatcher<Policy, Budgets>::waitLimit(const OpenCall &Call) const {
   if (Call.Rule.Redirects == 0 || Call.IsLastRedirect)
     return std::nullopt;
+  // A second try of what a server failed is worth no wait: the caller can have
+  // the answer that there is.
+  if (Call.ServerError)
+    return Common::Micros(0);
   if (Call.Kind.TargetLatency.count() == 0)
     return DefaultWaitLimit;
   return Call.Kind.TargetLatency / WaitShareOfTarget;
@@ -532,8 +542,10 @@
     const Common::Micros Wait = waitOf(Reply.Load);
     Call.LeastWait = std::min(Wait, Call.LeastWait.value_or(Wait));
   }
-  if (Reply.Result == Common::ResultCode::WouldWait)
+  if (Reply.Result == Common::ResultCode::WouldWait) {
     Call.Busy.insert(Ended.Server.Server);
+    Call.Excluded.erase(Ended.Server.Server);
+  }
   // A last try that met a node which is going away is not the last.
   const bool LacksRoom = Reply.Result == Common::ResultCode::WouldWait ||
                          Reply.Result == Common::ResultCode::DeadlineTooClose ||
@@ -541,18 +553,15 @@
   if ((Call.IsLastRedirect && LacksRoom) || Call.Deadline <= Now ||
       Call.Redirects > Call.Rule.Redirects)
     return false;
-  // It reached no backend server, so it counts as no attempt.
-  const ServerEntry *Server = nullptr;
-  if (++Call.Redirects < Call.Rule.Redirects || !LacksRoom)
-    Server = chooseServer(Call, Now);
-  if (!Server && !Call.Busy.empty()) {
-    Call.IsLastRedirect = true;
-    for (const std::string &Each : Call.Busy)
-      Call.Excluded.erase(Each);
-    Server = chooseServer(Call, Now);
-  }
+  const ServerEntry *Server = chooseServer(Call, Now);
   if (!Server)
     return false;
+  // Where it was refused already it waits, if that is what is left.
+  Call.IsLastRedirect = Call.Busy.contains(Server->Server) ||
+                        ++Call.Redirects >= Call.Rule.Redirects;
+  if (Call.IsLastRedirect && Call.ServerError)
+    return false;
+  // It reached no backend server, so it counts as no attempt.
   ++Call.AttemptsLeft;
   --Call.AttemptsMade;
   attempt(Call, *Server, Now, Actions);
@@ -598,8 +607,8 @@
                                                 DispatchActions &Actions) {
   disarmHedge(Call);
   // What nodes refused has been offered to all that may have room.
-  const bool WasOffered =
-      Call.Rule.Redirects > 0 && isNodeRefusal(Reply.Result);
+  const bool WasOffered = Call.ServerError || (Call.Rule.Redirects > 0 &&
+                                               isNodeRefusal(Reply.Result));
   const bool Wanted =
       Call.Deadline > Now && !WasOffered && mayTryAgain(Call, Reply.Result);
   const ServerEntry *Server = Wanted ? chooseServer(Call, Now) : nullptr;
--- a/Source/Core/Routing/ServerRecords.cpp
+++ b/Source/Core/Routing/ServerRecords.cpp
@@ -25,6 +25,13 @@
   ++Shown.Answers;
 }
 
+void addSlotTime(KindLatency &Shown, Common::Micros Took) {
+  constexpr int Memory = 8;
+  Shown.SlotTime = Shown.SlotTime.count() == 0
+                       ? Took
+                       : Shown.SlotTime + (Took - Shown.SlotTime) / Memory;
+}
+
 // A fast error must not make a server look fast. A full queue is load and no
 // failure: setting servers aside for it would add to the load of the others.
 bool isFailure(const CallReply &Reply) {
@@ -37,19 +44,25 @@
          Reply.Result == ResultCode::ConnectionLost;
 }
 
+void takeLoad(ServerRecord &Record, const ServerLoad &Load,
+              Common::SteadyTime Now) {
+  if (Load.Slots <= 0)
+    return;
+  Record.Reported = Load;
+  Record.ReportedAt = Now;
+  Record.OwnInFlightAtReport = Record.OwnInFlight;
+}
+
 void takeReply(ServerRecord &Record, KindLatency &Shown, const CallReply &Reply,
                Common::Micros Latency, Common::SteadyTime Now) {
-  if (Reply.Load.Slots > 0) {
-    Record.Reported = Reply.Load;
-    Record.ReportedAt = Now;
-    Record.OwnInFlightAtReport = Record.OwnInFlight;
-  }
+  takeLoad(Record, Reply.Load, Now);
   if (isFailure(Reply)) {
     ++Record.ConsecutiveFailures;
     Record.LastFailure = Now;
   } else if (Reply.Result == Common::ResultCode::Ok) {
     Record.ConsecutiveFailures = 0;
     addLatency(Shown, Latency, Now);
+    addSlotTime(Shown, Reply.ServiceTime);
   }
 }
 
@@ -110,6 +123,13 @@
     addLatency(Shown, GivenUpFactor * Latency, Now);
 }
 
+void ServerRecords::loadHeard(const std::string &Server, const ServerLoad &Load,
+                              Common::SteadyTime Now) {
+  const auto Found = Records.find(Server);
+  if (Found != Records.end())
+    takeLoad(Found->second, Load, Now);
+}
+
 const ServerRecord *ServerRecords::find(const std::string &Server) const {
   const auto Found = Records.find(Server);
   return Found == Records.end() ? nullptr : &Found->second;
--- a/Source/Core/Routing/ServerRecords.h
+++ b/Source/Core/Routing/ServerRecords.h
@@ -20,6 +20,8 @@
   Common::Micros SmoothedLatency{0};
   Common::SteadyTime MeasuredAt;
   int Answers = 0;
+  // How long its calls hold a slot there, as the far node tells; 0 is unknown.
+  Common::Micros SlotTime{0};
   // When each attempt in flight was sent.
   std::multiset<Common::SteadyTime> InFlight;
 };
@@ -61,6 +63,9 @@
   void attemptEnded(const std::string &Server, const AttemptOutcome &Outcome,
                     Common::SteadyTime Now);
 
+  void loadHeard(const std::string &Server, const ServerLoad &Load,
+                 Common::SteadyTime Now);
+
   const ServerRecord *find(const std::string &Server) const;
   ServerRecord *find(const std::string &Server);
   std::size_t size() const { return Records.size(); }
--- a/Source/Core/Wire/Codec.cpp
+++ b/Source/Core/Wire/Codec.cpp
@@ -42,6 +42,7 @@
   Part.ConfigVersion = From.ConfigVersion;
   Part.Idempotent = From.Idempotent;
   Part.TargetMicros = From.TargetLeft.count();
+  Part.TargetLengthMicros = From.TargetLength.count();
   Part.Priority = From.Priority;
   if (From.WaitLimit)
     Part.__set_WaitLimitMicros(From.WaitLimit->count());
@@ -97,6 +98,28 @@
   return Result;
 }
 
+Generated::Frame toWire(const LoadReport &From) {
+  Generated::LoadReport Part;
+  Part.Server = From.Server;
+  Part.Queued = From.Load.Queued;
+  Part.BusySlots = From.Load.BusySlots;
+  Part.Slots = From.Load.Slots;
+  Part.SlotMicros = From.Load.SlotTime.count();
+  Part.FailurePercent = From.Load.FailurePercent;
+  Generated::Frame Result;
+  Result.__set_Load(Part);
+  return Result;
+}
+
+LoadReport fromWire(Generated::LoadReport &Part) {
+  return {std::move(Part.Server),
+          {.Queued = Part.Queued,
+           .BusySlots = Part.BusySlots,
+           .Slots = Part.Slots,
+           .SlotTime = Common::Micros(Part.SlotMicros),
+           .FailurePercent = Part.FailurePercent}};
+}
+
 Routing::CallRequest fromWire(Generated::CallRequest &Part) {
   Routing::CallRequest Result;
   Result.Attempt = Part.CallId;
@@ -111,6 +134,7 @@
   Result.LongLane = Part.LongLane;
   Result.Idempotent = Part.Idempotent;
   Result.TargetLeft = Common::Micros(Part.TargetMicros);
+  Result.TargetLength = Common::Micros(Part.TargetLengthMicros);
   Result.Priority = Part.Priority;
   if (Part.__isset.WaitLimitMicros)
     Result.WaitLimit = Common::Micros(Part.WaitLimitMicros);
@@ -160,6 +184,8 @@
   if (Decoded.__isset.EnvelopeFrame)
     return Envelope{std::move(Decoded.EnvelopeFrame.Service),
                     std::move(Decoded.EnvelopeFrame.Content)};
+  if (Decoded.__isset.Load)
+    return fromWire(Decoded.Load);
   if (Decoded.__isset.HelloFrame)
     return Hello{std::move(Decoded.HelloFrame.Node),
                  std::move(Decoded.HelloFrame.DataCentre),
--- a/Source/Core/Wire/Frame.h
+++ b/Source/Core/Wire/Frame.h
@@ -33,7 +33,13 @@
   std::string Content;
 };
 
+// The load of the backend server beside the sender, told between answers.
+struct LoadReport {
+  std::string Server;
+  Routing::ServerLoad Load;
+};
+
 using Frame = std::variant<Hello, Routing::CallRequest, Routing::CallReply,
-                           CancelCall, Echo, Envelope>;
+                           CancelCall, Echo, Envelope, LoadReport>;
 
 } // namespace Wire
--- a/Source/Core/Wire/Generated/Zinnia_types.cpp
+++ b/Source/Core/Wire/Generated/Zinnia_types.cpp
@@ -222,6 +222,10 @@
 void CallRequest::__set_Server(const std::string& val) {
   this->Server = val;
 }
+
+void CallRequest::__set_TargetLengthMicros(const int64_t val) {
+  this->TargetLengthMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -409,6 +413,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->TargetLengthMicros);
+          this->__isset.TargetLengthMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -508,6 +520,10 @@
   xfer += oprot->writeString(this->Server);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("TargetLengthMicros", ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeI64(this->TargetLengthMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -533,6 +549,7 @@
   swap(a.Priority, b.Priority);
   swap(a.WaitLimitMicros, b.WaitLimitMicros);
   swap(a.Server, b.Server);
+  swap(a.TargetLengthMicros, b.TargetLengthMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -555,6 +572,7 @@
   Priority = other10.Priority;
   WaitLimitMicros = other10.WaitLimitMicros;
   Server = other10.Server;
+  TargetLengthMicros = other10.TargetLengthMicros;
   __isset = other10.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other11) {
@@ -576,6 +594,7 @@
   Priority = other11.Priority;
   WaitLimitMicros = other11.WaitLimitMicros;
   Server = other11.Server;
+  TargetLengthMicros = other11.TargetLengthMicros;
   __isset = other11.__isset;
   return *this;
 }
@@ -600,6 +619,7 @@
   out << ", " << "Priority=" << to_string(Priority);
   out << ", " << "WaitLimitMicros="; (__isset.WaitLimitMicros ? (out << to_string(WaitLimitMicros)) : (out << "<null>"));
   out << ", " << "Server=" << to_string(Server);
+  out << ", " << "TargetLengthMicros=" << to_string(TargetLengthMicros);
   out << ")";
 }
 
@@ -1276,6 +1296,198 @@
 }
 
 
+LoadReport::~LoadReport() noexcept {
+}
+
+
+void LoadReport::__set_Server(const std::string& val) {
+  this->Server = val;
+}
+
+void LoadReport::__set_Queued(const int32_t val) {
+  this->Queued = val;
+}
+
+void LoadReport::__set_BusySlots(const int32_t val) {
+  this->BusySlots = val;
+}
+
+void LoadReport::__set_Slots(const int32_t val) {
+  this->Slots = val;
+}
+
+void LoadReport::__set_SlotMicros(const int64_t val) {
+  this->SlotMicros = val;
+}
+
+void LoadReport::__set_FailurePercent(const int32_t val) {
+  this->FailurePercent = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Server);
+          this->__isset.Server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Queued);
+          this->__isset.Queued = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->BusySlots);
+          this->__isset.BusySlots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Slots);
+          this->__isset.Slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->SlotMicros);
+          this->__isset.SlotMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->FailurePercent);
+          this->__isset.FailurePercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadReport");
+
+  xfer += oprot->writeFieldBegin("Server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Queued", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->Queued);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("BusySlots", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->BusySlots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Slots", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->Slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("SlotMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->SlotMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("FailurePercent", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->FailurePercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadReport &a, LoadReport &b) {
+  using ::std::swap;
+  swap(a.Server, b.Server);
+  swap(a.Queued, b.Queued);
+  swap(a.BusySlots, b.BusySlots);
+  swap(a.Slots, b.Slots);
+  swap(a.SlotMicros, b.SlotMicros);
+  swap(a.FailurePercent, b.FailurePercent);
+  swap(a.__isset, b.__isset);
+}
+
+LoadReport::LoadReport(const LoadReport& other28) {
+  Server = other28.Server;
+  Queued = other28.Queued;
+  BusySlots = other28.BusySlots;
+  Slots = other28.Slots;
+  SlotMicros = other28.SlotMicros;
+  FailurePercent = other28.FailurePercent;
+  __isset = other28.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other29) {
+  Server = other29.Server;
+  Queued = other29.Queued;
+  BusySlots = other29.BusySlots;
+  Slots = other29.Slots;
+  SlotMicros = other29.SlotMicros;
+  FailurePercent = other29.FailurePercent;
+  __isset = other29.__isset;
+  return *this;
+}
+void LoadReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadReport(";
+  out << "Server=" << to_string(Server);
+  out << ", " << "Queued=" << to_string(Queued);
+  out << ", " << "BusySlots=" << to_string(BusySlots);
+  out << ", " << "Slots=" << to_string(Slots);
+  out << ", " << "SlotMicros=" << to_string(SlotMicros);
+  out << ", " << "FailurePercent=" << to_string(FailurePercent);
+  out << ")";
+}
+
+
 Frame::~Frame() noexcept {
 }
 
@@ -1309,6 +1521,11 @@
   this->EnvelopeFrame = val;
 __isset.EnvelopeFrame = true;
 }
+
+void Frame::__set_Load(const LoadReport& val) {
+  this->Load = val;
+__isset.Load = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -1385,6 +1602,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Load.read(iprot);
+          this->__isset.Load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1432,6 +1657,11 @@
     xfer += this->EnvelopeFrame.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.Load) {
+    xfer += oprot->writeFieldBegin("Load", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->Load.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1445,26 +1675,29 @@
   swap(a.Cancel, b.Cancel);
   swap(a.EchoFrame, b.EchoFrame);
   swap(a.EnvelopeFrame, b.EnvelopeFrame);
+  swap(a.Load, b.Load);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other28) {
-  HelloFrame = other28.HelloFrame;
-  Request = other28.Request;
-  Reply = other28.Reply;
-  Cancel = other28.Cancel;
-  EchoFrame = other28.EchoFrame;
-  EnvelopeFrame = other28.EnvelopeFrame;
-  __isset = other28.__isset;
+Frame::Frame(const Frame& other30) {
+  HelloFrame = other30.HelloFrame;
+  Request = other30.Request;
+  Reply = other30.Reply;
+  Cancel = other30.Cancel;
+  EchoFrame = other30.EchoFrame;
+  EnvelopeFrame = other30.EnvelopeFrame;
+  Load = other30.Load;
+  __isset = other30.__isset;
 }
-Frame& Frame::operator=(const Frame& other29) {
-  HelloFrame = other29.HelloFrame;
-  Request = other29.Request;
-  Reply = other29.Reply;
-  Cancel = other29.Cancel;
-  EchoFrame = other29.EchoFrame;
-  EnvelopeFrame = other29.EnvelopeFrame;
-  __isset = other29.__isset;
+Frame& Frame::operator=(const Frame& other31) {
+  HelloFrame = other31.HelloFrame;
+  Request = other31.Request;
+  Reply = other31.Reply;
+  Cancel = other31.Cancel;
+  EchoFrame = other31.EchoFrame;
+  EnvelopeFrame = other31.EnvelopeFrame;
+  Load = other31.Load;
+  __isset = other31.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -1476,6 +1709,7 @@
   out << ", " << "Cancel="; (__isset.Cancel ? (out << to_string(Cancel)) : (out << "<null>"));
   out << ", " << "EchoFrame="; (__isset.EchoFrame ? (out << to_string(EchoFrame)) : (out << "<null>"));
   out << ", " << "EnvelopeFrame="; (__isset.EnvelopeFrame ? (out << to_string(EnvelopeFrame)) : (out << "<null>"));
+  out << ", " << "Load="; (__isset.Load ? (out << to_string(Load)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1657,25 +1891,25 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigRecord::ConfigRecord(const ConfigRecord& other30) {
-  Id = other30.Id;
-  Base = other30.Base;
-  Level = other30.Level;
-  Author = other30.Author;
-  Note = other30.Note;
-  CompressedSet = other30.CompressedSet;
-  Hash = other30.Hash;
-  __isset = other30.__isset;
+ConfigRecord::ConfigRecord(const ConfigRecord& other32) {
+  Id = other32.Id;
+  Base = other32.Base;
+  Level = other32.Level;
+  Author = other32.Author;
+  Note = other32.Note;
+  CompressedSet = other32.CompressedSet;
+  Hash = other32.Hash;
+  __isset = other32.__isset;
 }
-ConfigRecord& ConfigRecord::operator=(const ConfigRecord& other31) {
-  Id = other31.Id;
-  Base = other31.Base;
-  Level = other31.Level;
-  Author = other31.Author;
-  Note = other31.Note;
-  CompressedSet = other31.CompressedSet;
-  Hash = other31.Hash;
-  __isset = other31.__isset;
+ConfigRecord& ConfigRecord::operator=(const ConfigRecord& other33) {
+  Id = other33.Id;
+  Base = other33.Base;
+  Level = other33.Level;
+  Author = other33.Author;
+  Note = other33.Note;
+  CompressedSet = other33.CompressedSet;
+  Hash = other33.Hash;
+  __isset = other33.__isset;
   return *this;
 }
 void ConfigRecord::printTo(std::ostream& out) const {
@@ -1818,19 +2052,19 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointState::EndpointState(const EndpointState& other32) {
-  Service = other32.Service;
-  Server = other32.Server;
-  Slots = other32.Slots;
-  Leaving = other32.Leaving;
-  __isset = other32.__isset;
+EndpointState::EndpointState(const EndpointState& other34) {
+  Service = other34.Service;
+  Server = other34.Server;
+  Slots = other34.Slots;
+  Leaving = other34.Leaving;
+  __isset = other34.__isset;
 }
-EndpointState& EndpointState::operator=(const EndpointState& other33) {
-  Service = other33.Service;
-  Server = other33.Server;
-  Slots = other33.Slots;
-  Leaving = other33.Leaving;
-  __isset = other33.__isset;
+EndpointState& EndpointState::operator=(const EndpointState& other35) {
+  Service = other35.Service;
+  Server = other35.Server;
+  Slots = other35.Slots;
+  Leaving = other35.Leaving;
+  __isset = other35.__isset;
   return *this;
 }
 void EndpointState::printTo(std::ostream& out) const {
@@ -1983,14 +2217,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Endpoints.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->Endpoints.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->Endpoints.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->Endpoints[_i38].read(iprot);
+              xfer += this->Endpoints[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2059,10 +2293,10 @@
   xfer += oprot->writeFieldBegin("Endpoints", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Endpoints.size()));
-    std::vector<EndpointState> ::const_iterator _iter39;
-    for (_iter39 = this->Endpoints.begin(); _iter39 != this->Endpoints.end(); ++_iter39)
+    std::vector<EndpointState> ::const_iterator _iter41;
+    for (_iter41 = this->Endpoints.begin(); _iter41 != this->Endpoints.end(); ++_iter41)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2092,31 +2326,31 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberState::MemberState(const MemberState& other40) {
-  Node = other40.Node;
-  DataCentre = other40.DataCentre;
-  Address = other40.Address;
-  PeerPort = other40.PeerPort;
-  MemberPort = other40.MemberPort;
-  ControlPort = other40.ControlPort;
-  Incarnation = other40.Incarnation;
-  Health = other40.Health;
-  Endpoints = other40.Endpoints;
-  ConfigVersion = other40.ConfigVersion;
-  __isset = other40.__isset;
-}
-MemberState& MemberState::operator=(const MemberState& other41) {
-  Node = other41.Node;
-  DataCentre = other41.DataCentre;
-  Address = other41.Address;
-  PeerPort = other41.PeerPort;
-  MemberPort = other41.MemberPort;
-  ControlPort = other41.ControlPort;
-  Incarnation = other41.Incarnation;
-  Health = other41.Health;
-  Endpoints = other41.Endpoints;
-  ConfigVersion = other41.ConfigVersion;
-  __isset = other41.__isset;
+MemberState::MemberState(const MemberState& other42) {
+  Node = other42.Node;
+  DataCentre = other42.DataCentre;
+  Address = other42.Address;
+  PeerPort = other42.PeerPort;
+  MemberPort = other42.MemberPort;
+  ControlPort = other42.ControlPort;
+  Incarnation = other42.Incarnation;
+  Health = other42.Health;
+  Endpoints = other42.Endpoints;
+  ConfigVersion = other42.ConfigVersion;
+  __isset = other42.__isset;
+}
+MemberState& MemberState::operator=(const MemberState& other43) {
+  Node = other43.Node;
+  DataCentre = other43.DataCentre;
+  Address = other43.Address;
+  PeerPort = other43.PeerPort;
+  MemberPort = other43.MemberPort;
+  ControlPort = other43.ControlPort;
+  Incarnation = other43.Incarnation;
+  Health = other43.Health;
+  Endpoints = other43.Endpoints;
+  ConfigVersion = other43.ConfigVersion;
+  __isset = other43.__isset;
   return *this;
 }
 void MemberState::printTo(std::ostream& out) const {
--- a/Source/Core/Wire/Generated/Zinnia_types.h
+++ b/Source/Core/Wire/Generated/Zinnia_types.h
@@ -33,6 +33,8 @@
 
 class Envelope;
 
+class LoadReport;
+
 class Frame;
 
 class ConfigRecord;
@@ -99,7 +101,7 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : CallId(false), Service(false), Kind(false), Method(false), Target(false), Body(false), Headers(false), RemainingMicros(false), AttemptsLeft(false), LongLane(false), CorrelationId(false), Caller(false), ConfigVersion(false), Idempotent(false), TargetMicros(false), Priority(false), WaitLimitMicros(false), Server(false) {}
+  _CallRequest__isset() : CallId(false), Service(false), Kind(false), Method(false), Target(false), Body(false), Headers(false), RemainingMicros(false), AttemptsLeft(false), LongLane(false), CorrelationId(false), Caller(false), ConfigVersion(false), Idempotent(false), TargetMicros(false), Priority(false), WaitLimitMicros(false), Server(false), TargetLengthMicros(false) {}
   bool CallId :1;
   bool Service :1;
   bool Kind :1;
@@ -118,6 +120,7 @@
   bool Priority :1;
   bool WaitLimitMicros :1;
   bool Server :1;
+  bool TargetLengthMicros :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -142,7 +145,8 @@
                 TargetMicros(0),
                 Priority(0),
                 WaitLimitMicros(0),
-                Server() {
+                Server(),
+                TargetLengthMicros(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -164,6 +168,7 @@
   int32_t Priority;
   int64_t WaitLimitMicros;
   std::string Server;
+  int64_t TargetLengthMicros;
 
   _CallRequest__isset __isset;
 
@@ -203,6 +208,8 @@
 
   void __set_Server(const std::string& val);
 
+  void __set_TargetLengthMicros(const int64_t val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(CallId == rhs.CallId))
@@ -243,6 +250,8 @@
       return false;
     if (!(Server == rhs.Server))
       return false;
+    if (!(TargetLengthMicros == rhs.TargetLengthMicros))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -530,14 +539,93 @@
 
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
+typedef struct _LoadReport__isset {
+  _LoadReport__isset() : Server(false), Queued(false), BusySlots(false), Slots(false), SlotMicros(false), FailurePercent(false) {}
+  bool Server :1;
+  bool Queued :1;
+  bool BusySlots :1;
+  bool Slots :1;
+  bool SlotMicros :1;
+  bool FailurePercent :1;
+} _LoadReport__isset;
+
+class LoadReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadReport(const LoadReport&);
+  LoadReport& operator=(const LoadReport&);
+  LoadReport() noexcept
+             : Server(),
+               Queued(0),
+               BusySlots(0),
+               Slots(0),
+               SlotMicros(0),
+               FailurePercent(0) {
+  }
+
+  virtual ~LoadReport() noexcept;
+  std::string Server;
+  int32_t Queued;
+  int32_t BusySlots;
+  int32_t Slots;
+  int64_t SlotMicros;
+  int32_t FailurePercent;
+
+  _LoadReport__isset __isset;
+
+  void __set_Server(const std::string& val);
+
+  void __set_Queued(const int32_t val);
+
+  void __set_BusySlots(const int32_t val);
+
+  void __set_Slots(const int32_t val);
+
+  void __set_SlotMicros(const int64_t val);
+
+  void __set_FailurePercent(const int32_t val);
+
+  bool operator == (const LoadReport & rhs) const
+  {
+    if (!(Server == rhs.Server))
+      return false;
+    if (!(Queued == rhs.Queued))
+      return false;
+    if (!(BusySlots == rhs.BusySlots))
+      return false;
+    if (!(Slots == rhs.Slots))
+      return false;
+    if (!(SlotMicros == rhs.SlotMicros))
+      return false;
+    if (!(FailurePercent == rhs.FailurePercent))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadReport &a, LoadReport &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
+
 typedef struct _Frame__isset {
-  _Frame__isset() : HelloFrame(false), Request(false), Reply(false), Cancel(false), EchoFrame(false), EnvelopeFrame(false) {}
+  _Frame__isset() : HelloFrame(false), Request(false), Reply(false), Cancel(false), EchoFrame(false), EnvelopeFrame(false), Load(false) {}
   bool HelloFrame :1;
   bool Request :1;
   bool Reply :1;
   bool Cancel :1;
   bool EchoFrame :1;
   bool EnvelopeFrame :1;
+  bool Load :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -555,6 +643,7 @@
   CancelCall Cancel;
   Echo EchoFrame;
   Envelope EnvelopeFrame;
+  LoadReport Load;
 
   _Frame__isset __isset;
 
@@ -570,6 +659,8 @@
 
   void __set_EnvelopeFrame(const Envelope& val);
 
+  void __set_Load(const LoadReport& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (__isset.HelloFrame != rhs.__isset.HelloFrame)
@@ -596,6 +687,10 @@
       return false;
     else if (__isset.EnvelopeFrame && !(EnvelopeFrame == rhs.EnvelopeFrame))
       return false;
+    if (__isset.Load != rhs.__isset.Load)
+      return false;
+    else if (__isset.Load && !(Load == rhs.Load))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/Source/Core/Wire/Zinnia.thrift
+++ b/Source/Core/Wire/Zinnia.thrift
@@ -28,6 +28,7 @@
   16: i32 Priority,
   17: optional i64 WaitLimitMicros,
   18: string Server,
+  19: i64 TargetLengthMicros,
 }
 
 struct CallReply {
@@ -62,6 +63,16 @@
   2: binary Content,
 }
 
+// The load of the backend server beside the sender, between answers.
+struct LoadReport {
+  1: string Server,
+  2: i32 Queued,
+  3: i32 BusySlots,
+  4: i32 Slots,
+  5: i64 SlotMicros,
+  6: i32 FailurePercent,
+}
+
 union Frame {
   1: Hello HelloFrame,
   2: CallRequest Request,
@@ -69,6 +80,7 @@
   4: CancelCall Cancel,
   5: Echo EchoFrame,
   6: Envelope EnvelopeFrame,
+  7: LoadReport Load,
 }
 
 // A record on the platform's log.
--- a/Source/UnitTests/Membership/JoiningTests.cpp
+++ b/Source/UnitTests/Membership/JoiningTests.cpp
@@ -2,6 +2,7 @@
 
 #include "Membership/AnnouncementGate.h"
 #include "Membership/Introducer.h"
+#include "Membership/LoadSharing.h"
 
 BOOST_AUTO_TEST_SUITE(Joining)
 
@@ -86,4 +87,25 @@
   BOOST_TEST((Tested.next(Now) == DirectoryStep::List));
 }
 
+BOOST_AUTO_TEST_CASE(TellsCallersWhenRoomComesOrGoes) {
+  LoadSharing Tested(true);
+  Common::SteadyTime Now{Millis(1000)};
+  const Routing::ServerLoad Full{.Queued = 3, .BusySlots = 6, .Slots = 6};
+  const Routing::ServerLoad Free{.Queued = 0, .BusySlots = 1, .Slots = 6};
+  const Routing::ServerLoad Freer{.Queued = 0, .BusySlots = 0, .Slots = 6};
+  BOOST_TEST(!Tested.isDue(Full, Now));
+  Tested.called(Now);
+  Tested.told(Full, Now);
+  BOOST_TEST(!Tested.isDue(Free, Now));
+  Now += LoadSharing::NearInterval;
+  BOOST_TEST(!Tested.isDue(Full, Now));
+  BOOST_TEST(Tested.isDue(Free, Now));
+  Tested.told(Free, Now);
+  Now += LoadSharing::NearInterval;
+  // A server that is hardly used is told of once.
+  BOOST_TEST(!Tested.isDue(Freer, Now));
+  Now += LoadSharing::InterestLife;
+  BOOST_TEST(!Tested.isDue(Full, Now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Node/BackendServiceTests.cpp
+++ b/Source/UnitTests/Node/BackendServiceTests.cpp
@@ -71,9 +71,17 @@
     }
     BOOST_REQUIRE(Seen);
   }
+  // The replies among what was sent; the rest tells of load.
+  std::vector<Routing::CallReply> replies() const {
+    std::vector<Routing::CallReply> Result;
+    for (const Node::PeersMessage &Each : Sent)
+      if (const auto *Part = std::get_if<Node::SendReply>(&Each))
+        Result.push_back(Part->Reply);
+    return Result;
+  }
   Routing::CallReply reply(std::size_t Index) {
-    waitFor([&] { return Sent.size() > Index; });
-    return std::get<Node::SendReply>(Sent[Index]).Reply;
+    waitFor([&] { return replies().size() > Index; });
+    return replies()[Index];
   }
 };
 
--- a/Source/UnitTests/Routing/RedirectTests.cpp
+++ b/Source/UnitTests/Routing/RedirectTests.cpp
@@ -184,7 +184,9 @@
   for (const ServerEntry &Each : View.ByService["s"]) {
     CallReply Reply;
     Reply.Load.Slots = 6;
-    Reply.Load.SlotTime = Each.Server == "slow" ? Millis(500) : Millis(100);
+    Reply.ServiceTime = Each.Server == "slow" ? Millis(500) : Millis(100);
+    // Its other kinds run long, which says nothing about this one.
+    Reply.Load.SlotTime = Each.Server == "good" ? Millis(900) : Millis(100);
     Reply.Load.FailurePercent = Each.Server == "grey" ? 45 : 0;
     Records.attemptSent(Each.Server, "k", Now);
     Records.attemptEnded(Each.Server, {Now, "k", &Reply}, Now);
@@ -197,4 +199,40 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(StaysInItsDataCentreWhileThatMeetsTheTarget) {
+  ExpectedTimeChoice Choice(3);
+  ServerRecords Records;
+  ServerView View;
+  View.ByService["s"] = {{"near", "n", "here", 6}, {"far", "f", "there", 6}};
+  const Common::SteadyTime Now{Millis(1000)};
+  Records.useServers(View, Now);
+  const auto Tell = [&](const std::string &Server, int Queued) {
+    CallReply Reply;
+    Reply.ServiceTime = Server == "near" ? Millis(100) : Millis(20);
+    Reply.Load = {.Queued = Queued,
+                  .BusySlots = Queued > 0 ? 6 : 0,
+                  .Slots = 6,
+                  .SlotTime = Millis(100)};
+    Records.attemptSent(Server, "k", Now);
+    Records.attemptEnded(Server, {Now, "k", &Reply}, Now);
+  };
+  const std::set<std::string> None;
+  const auto Chosen = [&] {
+    return View
+        .ByService["s"][*Choice.choose({View.ByService["s"], Records, "here",
+                                        None, Now, "k", Millis(300)})]
+        .Server;
+  };
+  Tell("near", 0);
+  Tell("far", 0);
+  for (int Count = 0; Count < 50; ++Count)
+    BOOST_TEST(Chosen() == "near");
+  // With a queue here that breaks the target, most go there.
+  Tell("near", 12);
+  int Far = 0;
+  for (int Count = 0; Count < 50; ++Count)
+    Far += Chosen() == "far" ? 1 : 0;
+  BOOST_TEST(Far == 50);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
