--- a/Source/Core/Node/AdminService.h
+++ b/Source/Core/Node/AdminService.h
@@ -44,7 +44,7 @@
                      takeRequest(Id, Asked);
                    })
                    .build();
-    spdlog::info("operators are served on {}:{}", Settings.Address,
+    spdlog::info("event=operators-served address={}:{}", Settings.Address,
                  Listener->port());
   }
 
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -173,8 +173,10 @@
     Routing::CallReply Reply;
     Reply.HttpStatus = Result.Reply.Status;
     if (!Result.Answered) {
-      spdlog::warn("call {}: {} did not answer: {}", Call.Request.CorrelationId,
-                   Server.Server, Result.Failure);
+      spdlog::warn("event=no-answer id={} server={} may-have-run={} "
+                   "reason=\"{}\"",
+                   Call.Request.CorrelationId, Server.Server, Result.MayHaveRun,
+                   Result.Failure);
       Reply.Result = Result.MayHaveRun ? Common::ResultCode::OutcomeUnknown
                                        : Common::ResultCode::PeerUnreachable;
     } else if (Translation.isNotRun(Result.Reply)) {
@@ -218,6 +220,16 @@
   }
 
   void refuse(Admission::TicketId Id, Common::ResultCode Code) {
+    const OpenCall &Call = Calls.at(Id);
+    const Routing::ServerLoad Seen = Queue.load();
+    spdlog::info(
+        "event=attempt-refused id={} kind={} server={} code={} {} "
+        "busy={}/{} waiting={} slot-time-us={} left-us={}",
+        Call.Request.CorrelationId, Call.Request.Kind, Server.Server,
+        Common::resultCodeNumber(Code), Common::resultCodeName(Code),
+        Seen.BusySlots, Seen.Slots, Seen.Queued, Seen.SlotTime.count(),
+        std::chrono::duration_cast<Common::Micros>(Call.Deadline - now())
+            .count());
     Routing::CallReply Reply;
     Reply.Result = Code;
     reply(Id, std::move(Reply));
--- a/Source/Core/Node/FrontService.h
+++ b/Source/Core/Node/FrontService.h
@@ -61,7 +61,7 @@
               act(Calls.callerGone(static_cast<Routing::CallId>(Id), now()));
             })
             .build();
-    spdlog::info("callers are served on {}:{}", Settings.Address,
+    spdlog::info("event=callers-served address={}:{}", Settings.Address,
                  Listener->port());
   }
 
@@ -211,6 +211,10 @@
   }
 
   void perform(const Routing::SendAttempt &Part) {
+    if (Part.Number > 1)
+      spdlog::info("event=attempt-again id={} number={} server={} node={}",
+                   Part.Request.CorrelationId, Part.Number, Part.Request.Server,
+                   Part.Node);
     const auto Posted =
         Targets.ToPeers.post(SendRequest{Part.Node, Part.Request});
     if (Posted == Kernel::PostResult::Accepted)
--- a/Source/Core/Node/MembersService.h
+++ b/Source/Core/Node/MembersService.h
@@ -105,8 +105,8 @@
   void take(ServerAnnounced &Part) {
     if (!Lease.renew(Part.Server, now()))
       return;
-    spdlog::info("backend server {} of {} announced itself", Part.Server.Server,
-                 Part.Server.Service);
+    spdlog::info("event=server-announced server={} service={}",
+                 Part.Server.Server, Part.Server.Service);
     Decisions.announce(Part.Server);
   }
 
@@ -125,7 +125,7 @@
   }
 
   void withdraw(const std::string &Server, const std::string &Why) {
-    spdlog::warn("backend server {} {}", Server, Why);
+    spdlog::warn("event=server-withdrawn server={} reason=\"{}\"", Server, Why);
     Decisions.withdraw(Server);
   }
 
@@ -136,7 +136,7 @@
       Counts.Received[Membership::kindName(Heard.Body)].add(Bytes.size());
       send(Decisions.take(Heard, now()));
     } catch (const Common::Error &Failure) {
-      spdlog::warn("datagram: {}", Failure.what());
+      spdlog::warn("event=datagram-refused reason=\"{}\"", Failure.what());
       return;
     }
     publish();
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -154,6 +154,7 @@
     };
     Events.OnConnected = [this, Address] {
       Outbound.at(Address).WasConnected = true;
+      spdlog::info("dependency=node state=connected address={}", Address);
       Backoffs.erase(Address);
     };
     Events.OnClosed = [this, Address](const std::string &Why) {
@@ -190,7 +191,9 @@
     const auto Lost = Outbound.extract(Address);
     if (Lost.empty())
       return;
-    spdlog::warn("connection to {} ended: {}", Address, Why);
+    spdlog::warn(
+        "dependency=node state=lost address={} awaited={} reason=\"{}\"",
+        Address, Lost.mapped().Awaited.size(), Why);
     if (Lost.mapped().WasConnected) {
       Targets.ToFront.post(NodeLost{Address});
       return;
@@ -221,7 +224,7 @@
   }
 
   void loseOrigin(OriginId Origin, const std::string &Why) {
-    spdlog::info("connection {} from a node ended: {}", Origin, Why);
+    spdlog::info("event=origin-lost origin={} reason=\"{}\"", Origin, Why);
     const auto Lost = Inbound.extract(Origin);
     Targets.ToBackend.post(OriginLost{Origin});
   }
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -41,6 +41,8 @@
 struct SendAttempt {
   NodeAddress Node;
   CallRequest Request;
+  // From 1, counting tries that the nodes refused as well.
+  int Number = 1;
 };
 struct CancelAttempt {
   NodeAddress Node;
@@ -374,7 +376,8 @@
   Records.attemptSent(Server.Server, Call.Kind.Name, Now);
   CallRequest Request = makeRequest(Call, Attempt, Now);
   Request.Server = Server.Server;
-  Actions.push_back(SendAttempt{Server.Node, std::move(Request)});
+  Actions.push_back(SendAttempt{Server.Node, std::move(Request),
+                                Call.AttemptsMade + Call.Redirects});
 }
 
 template <ChoicePolicy Policy, RetryBudgets Budgets>
