--- a/Source/Core/Config/NewestFollower.cpp
+++ b/Source/Core/Config/NewestFollower.cpp
@@ -1,6 +1,7 @@
 #include "Config/NewestFollower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Config {
 
@@ -11,6 +12,9 @@
 
 FollowActions NewestFollower::read() {
   RetryAt.reset();
+  // What peers had meanwhile comes with this read.
+  if (std::exchange(Gathering, false))
+    BehindSince.reset();
   if (!Position)
     return {ReadNewestSet{}};
   return {ReadOnFrom{*Position}};
@@ -22,7 +26,11 @@
     Failing = false;
     Backoff = Given.LeastBackoff;
     Position = Answer.Next;
-    return read();
+    if (Answer.Content.empty())
+      return read();
+    Gathering = true;
+    RetryAt = Now + Given.Gather;
+    return {};
   }
   if (Answer.Code == Common::ResultCode::LogOffsetExpired) {
     Position.reset();
@@ -64,7 +72,8 @@
 
 void NewestFollower::askPeers(const std::vector<FollowPeer> &Peers,
                               Common::SteadyTime Now, FollowActions &Actions) {
-  const bool IsBehind = BehindSince && Now - *BehindSince >= Given.PeerDelay;
+  const bool IsBehind =
+      BehindSince && !Gathering && Now - *BehindSince >= Given.PeerDelay;
   if (AskedAt || Peers.empty() || (!IsBehind && (!Failing || Now < NextAsk)))
     return;
   // One that is known to be ahead; without one any may be.
--- a/Source/Core/Config/NewestFollower.h
+++ b/Source/Core/Config/NewestFollower.h
@@ -16,6 +16,10 @@
   // How long one read waits at the source. A read that is held up in silence
   // is noticed only after this.
   Common::Micros Wait{10'000'000};
+  // After a newer set came, so long passes before the next read, since changes
+  // come in series and a read brings all of them. A third of the two seconds
+  // in which a change has to be in force.
+  Common::Micros Gather{600'000};
   Common::Micros LeastBackoff{100'000};
   Common::Micros MostBackoff{1'000'000};
   // How long a node that is behind a peer waits for its own read.
@@ -78,6 +82,7 @@
   Version Held = 0;
   std::optional<SourcePosition> Position;
   bool Failing = false;
+  bool Gathering = false;
   Common::Micros Backoff;
   std::optional<Common::SteadyTime> RetryAt;
   std::optional<Common::SteadyTime> BehindSince;
--- a/Source/UnitTests/Config/NewestFollowerTests.cpp
+++ b/Source/UnitTests/Config/NewestFollowerTests.cpp
@@ -77,6 +77,17 @@
   BOOST_TEST(std::get<AskPeer>(Actions[0]).Address == "b:1");
 }
 
+BOOST_FIXTURE_TEST_CASE(GathersChangesThatComeInSeries, Fixture) {
+  Tested.start(Now);
+  Tested.offer(3);
+  Peers[0].Held = 9;
+  BOOST_TEST(Tested.answered({ResultCode::Ok, "a set", 7, ""}, Now).empty());
+  BOOST_TEST(wait(Millis(500)).empty());
+  const auto Actions = wait(Millis(300));
+  BOOST_REQUIRE_EQUAL(count<ReadOnFrom>(Actions), 1);
+  BOOST_TEST(std::get<ReadOnFrom>(Actions[0]).From == 7);
+}
+
 BOOST_FIXTURE_TEST_CASE(LeavesPeersAloneInCalm, Fixture) {
   Tested.start(Now);
   Tested.offer(3);
--- a/Source/UnitTests/Http/EdgeServerTests.cpp
+++ b/Source/UnitTests/Http/EdgeServerTests.cpp
@@ -54,7 +54,7 @@
     if (Hold)
       Held.push_back(Id);
     else
-      Server->answer(Id, std::move(Reply));
+      Server->answer(Id, Reply);
   }
 
   bool waitFor(const std::function<bool()> &Happened,
