Let nodes that start ask other data centres for their servers

A starting node now asks two nodes of each other data centre at once and four times more within six seconds; summaries come each three seconds.

--- a/Source/Core/Membership/Datagram.h
+++ b/Source/Core/Membership/Datagram.h
@@ -18,6 +18,16 @@
   auto operator<=>(const Place &) const = default;
 };
 
+// Where to begin for a node that knows nobody.
+struct Introductions {
+  // Nodes of the own data centre.
+  std::vector<Place> Home;
+  // Some nodes of each other one.
+  std::vector<Place> Foreign;
+
+  bool empty() const { return Home.empty() && Foreign.empty(); }
+};
+
 // Asks the node of that name to answer with an Ack of the same sequence.
 struct Probe {
   std::int64_t Sequence = 0;
--- a/Source/Core/Membership/Introducer.cpp
+++ b/Source/Core/Membership/Introducer.cpp
@@ -1,6 +1,7 @@
 #include "Membership/Introducer.h"
 
 #include <algorithm>
+#include <map>
 
 namespace Membership {
 
@@ -8,9 +9,9 @@
 
 constexpr Common::Millis FirstDelay{200};
 constexpr int MaxDoublings = 4;
-// Foreign entries that are used beside those of the own data centre: they
-// serve when no neighbour is there, and to hear of the other data centres.
-constexpr std::size_t ForeignSeeds = 3;
+// Nodes of each other data centre that are asked what is there. One of them may
+// be gone.
+constexpr std::size_t SeedsPerForeign = 2;
 
 } // namespace
 
@@ -30,20 +31,24 @@
     wait(Now);
 }
 
-std::vector<Place> Introducer::listed(bool Done,
-                                      const std::vector<DirectoryEntry> &Found,
-                                      Common::SteadyTime Now) {
+Introductions Introducer::listed(bool Done,
+                                 const std::vector<DirectoryEntry> &Found,
+                                 Common::SteadyTime Now) {
   Busy = false;
   wait(Now);
-  std::vector<Place> Own;
-  std::vector<Place> Foreign;
-  if (Done)
-    for (const DirectoryEntry &Each : Found)
-      (Each.DataCentre == DataCentre ? Own : Foreign).push_back(Each.Where);
-  std::shuffle(Foreign.begin(), Foreign.end(), Random);
-  for (std::size_t I = 0; I < std::min(ForeignSeeds, Foreign.size()); ++I)
-    Own.push_back(Foreign[I]);
-  return Own;
+  Introductions Result;
+  if (!Done)
+    return Result;
+  std::map<std::string, std::vector<Place>> Foreign;
+  for (const DirectoryEntry &Each : Found)
+    (Each.DataCentre == DataCentre ? Result.Home : Foreign[Each.DataCentre])
+        .push_back(Each.Where);
+  for (auto &[Name, Places] : Foreign) {
+    std::shuffle(Places.begin(), Places.end(), Random);
+    Places.resize(std::min(Places.size(), SeedsPerForeign));
+    Result.Foreign.insert(Result.Foreign.end(), Places.begin(), Places.end());
+  }
+  return Result;
 }
 
 void Introducer::membersKnown(std::size_t Count) {
--- a/Source/Core/Membership/Introducer.h
+++ b/Source/Core/Membership/Introducer.h
@@ -23,8 +23,8 @@
   DirectoryStep next(Common::SteadyTime Now);
   void announced(bool Done, Common::SteadyTime Now);
   // The places to join through, or none.
-  std::vector<Place> listed(bool Done, const std::vector<DirectoryEntry> &Found,
-                            Common::SteadyTime Now);
+  Introductions listed(bool Done, const std::vector<DirectoryEntry> &Found,
+                       Common::SteadyTime Now);
   // How many nodes are known to be alive, this one among them.
   void membersKnown(std::size_t Count);
 
--- a/Source/Core/Membership/Prober.cpp
+++ b/Source/Core/Membership/Prober.cpp
@@ -29,6 +29,10 @@
 // When a whole data centre starts at once, the first list is of few members;
 // after this time the seeds have heard of all.
 constexpr Common::Millis JoinSettleTime{1500};
+// Nodes of other data centres are asked after this and then twice as long each
+// time, up to the second figure: as long as a herd takes to start.
+constexpr Common::Millis FirstForeignInterval{400};
+constexpr Common::Millis LastForeignInterval{4000};
 
 } // namespace
 
@@ -63,6 +67,7 @@
     return Now - Entry.second.SentAt > Options.ProbeInterval;
   });
   fetchList(Now);
+  askForeign(Now);
   gossip();
   summarise(Now);
   return takeOutput();
@@ -273,6 +278,8 @@
                     Common::SteadyTime Now) {
   Fetch.take(Body, Heard.ReplyTo, Now);
   const bool FromHome = Heard.DataCentre == Table.self().DataCentre;
+  if (!FromHome && !Body.IsLast && isAskedForeign(Heard.ReplyTo))
+    send(Heard.ReplyTo, ListRequest{Body.LastName});
   if (!FromHome && !isForeignSeed(Heard.ReplyTo))
     ForeignSeeds.push_back(Heard.ReplyTo);
   if (Body.IsLast && !Joined) {
@@ -285,16 +292,39 @@
 
 void Prober::answer(const Datagram &, const Summary &, Common::SteadyTime) {}
 
-void Prober::addSeeds(const std::vector<Place> &Seeds, Common::SteadyTime Now) {
+void Prober::addSeeds(const Introductions &Found, Common::SteadyTime Now) {
   const Place Own{Table.self().Address, Table.self().MemberPort};
+  // Without a neighbour, the others serve as seeds.
+  const auto &Seeds = Found.Home.empty() ? Found.Foreign : Found.Home;
   for (const Place &Each : Seeds)
     if (Each != Own && std::find(Options.Seeds.begin(), Options.Seeds.end(),
                                  Each) == Options.Seeds.end())
       Options.Seeds.push_back(Each);
+  for (const Place &Each : Found.Foreign)
+    if (!isAskedForeign(Each))
+      ForeignFetches.push_back({Each, Now, FirstForeignInterval});
   if (Started && !Joined)
     Fetch.begin(Options.Seeds, true, Now);
 }
 
+bool Prober::isAskedForeign(const Place &Where) const {
+  return std::any_of(
+      ForeignFetches.begin(), ForeignFetches.end(),
+      [&](const ForeignFetch &Each) { return Each.From == Where; });
+}
+
+// Those who started at the same moment know little yet, so they are asked
+// again.
+void Prober::askForeign(Common::SteadyTime Now) {
+  for (ForeignFetch &Each : ForeignFetches) {
+    if (Now < Each.NextAt || Each.Interval > LastForeignInterval)
+      continue;
+    send(Each.From, ListRequest{""});
+    Each.NextAt = Now + Each.Interval;
+    Each.Interval *= 2;
+  }
+}
+
 void Prober::announce(const Endpoint &Server) {
   Table.announce(Server);
   tellSelf();
--- a/Source/Core/Membership/Prober.h
+++ b/Source/Core/Membership/Prober.h
@@ -38,7 +38,7 @@
   std::vector<Outgoing> take(const Datagram &Heard, Common::SteadyTime Now);
 
   // Joins through these as well, if it has not joined yet.
-  void addSeeds(const std::vector<Place> &Seeds, Common::SteadyTime Now);
+  void addSeeds(const Introductions &Found, Common::SteadyTime Now);
   void announce(const Endpoint &Server);
   void withdraw(const std::string &Server);
   void leave();
@@ -60,6 +60,16 @@
     Common::SteadyTime SentAt;
   };
 
+  // A node of another data centre that is asked what is there until some time
+  // after this one joined: summaries alone come every few seconds.
+  struct ForeignFetch {
+    Place From;
+    Common::SteadyTime NextAt;
+    Common::Millis Interval{0};
+  };
+
+  void askForeign(Common::SteadyTime Now);
+  bool isAskedForeign(const Place &Where) const;
   void noticeSleep(Common::SteadyTime Now);
   void tellSelf();
   void tell(const Member &Update);
@@ -111,6 +121,7 @@
   bool Started = false;
   // Seeds that answered from another data centre.
   std::vector<Place> ForeignSeeds;
+  std::vector<ForeignFetch> ForeignFetches;
   bool Joined = false;
   std::optional<Common::SteadyTime> RefetchAt;
   Common::SteadyTime LastTick;
--- a/Source/Core/Membership/SummaryExchange.cpp
+++ b/Source/Core/Membership/SummaryExchange.cpp
@@ -9,7 +9,9 @@
 namespace {
 
 constexpr Common::Millis ChangeInterval{200};
-constexpr Common::Millis RefreshInterval{5000};
+// Six other data centres and datagrams of 1.2 KB are 2.4 KB a second, of the
+// three that a node may use for control.
+constexpr Common::Millis RefreshInterval{3000};
 constexpr int TransmitsPerChange = 3;
 constexpr std::uint64_t AnyMemberShare = 4;
 
--- a/Source/Core/Node/DirectoryService.h
+++ b/Source/Core/Node/DirectoryService.h
@@ -71,7 +71,8 @@
       auto Seeds = Decisions.listed(Done, Found, now());
       if (Seeds.empty())
         return;
-      spdlog::info("event=seeds-found count={}", Seeds.size());
+      spdlog::info("event=seeds-found home={} foreign={}", Seeds.Home.size(),
+                   Seeds.Foreign.size());
       ToMembers.post(SeedsFound{std::move(Seeds)});
     });
   }
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -115,7 +115,7 @@
 };
 // Nodes that were found in a directory; any of them may be gone.
 struct SeedsFound {
-  std::vector<Membership::Place> Seeds;
+  Membership::Introductions Seeds;
 };
 using MembersMessage =
     std::variant<ServerAnnounced, ServerLeft, VersionInForce, SeedsFound>;
--- a/Source/UnitTests/Membership/JoiningTests.cpp
+++ b/Source/UnitTests/Membership/JoiningTests.cpp
@@ -61,7 +61,8 @@
   BOOST_TEST((Tested.next(Now) == DirectoryStep::List));
   const auto Seeds = Tested.listed(
       true, {{"a", "here", {"1", 1}}, {"b", "there", {"2", 2}}}, Now);
-  BOOST_TEST(Seeds.size() == 2U);
+  BOOST_TEST(Seeds.Home.size() == 1U);
+  BOOST_TEST(Seeds.Foreign.size() == 1U);
   Tested.membersKnown(3);
   Now += Millis(60'000);
   BOOST_TEST((Tested.next(Now) == DirectoryStep::None));
--- a/Source/UnitTests/Membership/ProberTests.cpp
+++ b/Source/UnitTests/Membership/ProberTests.cpp
@@ -246,4 +246,40 @@
   BOOST_TEST(AllGone());
 }
 
+// Found on a played day: a node that had been restarted knew no server of other
+// data centres for up to seven seconds, and refused their calls meanwhile.
+BOOST_AUTO_TEST_CASE(ARestartedNodeSoonKnowsTheServersOfOtherDataCentres) {
+  Fleet Tested(11);
+  for (const char *DataCentre : {"a", "b", "c"})
+    Tested.addMany(4, DataCentre);
+  Tested.run(Millis(500));
+  for (const char *DataCentre : {"a", "b", "c"})
+    for (int I = 0; I < 4; ++I) {
+      const std::string Name = Fleet::name(I, DataCentre);
+      Tested[Name].announce(
+          {std::string("s") + DataCentre, "of-" + Name, 6, false});
+      for (const char *Other : {"a", "b", "c"})
+        if (std::string(Other) != DataCentre)
+          Tested[Name].addSeeds({{}, {{Fleet::name(I, Other), 7}}},
+                                Tested.now());
+    }
+  Tested.run(Millis(10'000));
+  const std::string Restarted = Fleet::name(2, "a");
+  Tested.add(Restarted, "a", {});
+  Tested.run(Millis(200));
+  Tested[Restarted].addSeeds(
+      {{{Fleet::name(0, "a"), 7}},
+       {{Fleet::name(1, "b"), 7}, {Fleet::name(3, "c"), 7}}},
+      Tested.now());
+  const auto Took = Tested.run(Millis(5000), [&] {
+    const auto Servers = Tested[Restarted].table().servers();
+    return Servers->ByService.contains("sb") &&
+           Servers->ByService.at("sb").size() == 4 &&
+           Servers->ByService.contains("sc") &&
+           Servers->ByService.at("sc").size() == 4;
+  });
+  BOOST_TEST_MESSAGE("took " << Took.count() << " ms");
+  BOOST_TEST((Took < Millis(1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
