--- a/Source/UnitTests/Kernel/HostTests.cpp
+++ b/Source/UnitTests/Kernel/HostTests.cpp
@@ -1,6 +1,9 @@
 #include <variant>
 
+#include <csignal>
+
 #include <boost/test/unit_test.hpp>
+#include <unistd.h>
 
 #include "Common/Error.h"
 #include "Kernel/Host.h"
@@ -106,4 +109,36 @@
   BOOST_CHECK_THROW(Names.find<int>("a"), Common::Error);
 }
 
+// Found on a played day: SIGHUP ended the process, and with it its calls.
+BOOST_AUTO_TEST_CASE(ReadsItsSettingsAnewAtAHangupAndStopsAtATerm) {
+  Kernel::HostBuilder Builder;
+  Builder.task("t");
+  Kernel::Host Running = Builder.build();
+  Running.start();
+  int Reloads = 0;
+  ::kill(::getpid(), SIGHUP);
+  Running.waitForStopSignal([&Reloads] {
+    ++Reloads;
+    ::kill(::getpid(), SIGTERM);
+  });
+  Running.stop(Common::Millis(1000));
+  BOOST_TEST(Reloads == 1);
+}
+
+BOOST_AUTO_TEST_CASE(CallsBackWhileItWaitsForASignal) {
+  Kernel::HostBuilder Builder;
+  Builder.task("t");
+  Kernel::Host Running = Builder.build();
+  Running.start();
+  int Calls = 0;
+  Running.waitForStopSignal([] {},
+                            [&Calls] {
+                              if (++Calls == 3)
+                                ::kill(::getpid(), SIGTERM);
+                            },
+                            Common::Millis(5));
+  Running.stop(Common::Millis(1000));
+  BOOST_TEST(Calls == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
