--- a/Source/Core/Config/ObjectSet.h
+++ b/Source/Core/Config/ObjectSet.h
@@ -60,8 +60,9 @@
 // Half a second past a limit is allowed to our users' answers; most of those at
 // the limit come within a few milliseconds.
 constexpr Common::Millis DefaultAnswerSlack{60};
-// Few enough that offers end well before a usual latency target.
-constexpr int DefaultRedirects = 4;
+// Few enough that offers end well before a usual latency target. In a lasting
+// overload each more costs two nodes the time of a call and finds no room.
+constexpr int DefaultRedirects = 2;
 
 // One part of a route whose calls are shared among services.
 struct WeightedService {
