--- a/Source/Core/Config/NewestFollower.h
+++ b/Source/Core/Config/NewestFollower.h
@@ -99,6 +99,8 @@
 
   Version held() const { return Held; }
   bool isCutOff() const { return Failing; }
+  // The reader that this node waits at; empty while it reads the source.
+  std::string reader() const { return ReaderAskedAt ? AskedReader : ""; }
   // Whether this node reads the source and had an answer lately, so that
   // others may wait here.
   bool isInTouch(Common::SteadyTime Now) const;
--- a/Source/Core/Node/SourceConfigService.h
+++ b/Source/Core/Node/SourceConfigService.h
@@ -77,6 +77,13 @@
   void act(const Config::FollowActions &Actions) {
     for (const Config::FollowAction &Each : Actions)
       std::visit([this](const auto &Part) { this->perform(Part); }, Each);
+    if (const std::string Reader = Decisions.reader(); Reader != KnownReader) {
+      spdlog::info("event=config-reader now={} before={} version={}",
+                   Reader.empty() ? "none" : Reader,
+                   KnownReader.empty() ? "none" : KnownReader,
+                   Decisions.held());
+      KnownReader = Reader;
+    }
   }
 
   void perform(const Config::ReadNewestSet &) {
@@ -264,6 +271,8 @@
   std::unique_ptr<Source> From;
   Config::NewestFollower Decisions;
   HeldSets Held;
+  // As last told in the log.
+  std::string KnownReader;
 };
 
 } // namespace Node
