List the other nodes once at least, also when found before

It took itself for joined, never listed the others, and refused 291 calls as NoLiveServer over 16 s.

--- a/Source/Core/Config/NewestFollower.h
+++ b/Source/Core/Config/NewestFollower.h
@@ -36,7 +36,7 @@
   // reader.
   Common::Micros PeerDelay{150'000};
   // A node that starts reads the source when it has met no peer for so long.
-  // Peers send the set packed, to an eighth of what the source sends.
+  // Peers send the set packed, to about a tenth.
   Common::Micros MeetTime{250'000};
   // While the source does not answer, peers are asked this often.
   Common::Micros AskInterval{300'000};
--- a/Source/Core/Membership/Introducer.cpp
+++ b/Source/Core/Membership/Introducer.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 DirectoryStep Introducer::next(Common::SteadyTime Now) {
-  if (Busy || Now < NextAt || (Joined && Announced))
+  if (Busy || Now < NextAt || (Joined && Announced && Listed))
     return DirectoryStep::None;
   Busy = true;
   return Announced ? DirectoryStep::List : DirectoryStep::Announce;
@@ -39,6 +39,7 @@
   Introductions Result;
   if (!Done)
     return Result;
+  Listed = true;
   std::map<std::string, std::vector<Place>> Foreign;
   for (const DirectoryEntry &Each : Found)
     (Each.DataCentre == DataCentre ? Result.Home : Foreign[Each.DataCentre])
--- a/Source/Core/Membership/Introducer.h
+++ b/Source/Core/Membership/Introducer.h
@@ -14,6 +14,7 @@
 // the others until it has joined them. Since each node announces itself before
 // it lists, of two nodes that start at once one finds the other. A node that
 // has joined leaves the directory alone, unless it finds itself alone again.
+// It lists once at least: whoever found it meanwhile may know as few others.
 class Introducer {
 public:
   Introducer(std::string DataCentre, std::uint64_t Seed)
@@ -34,6 +35,7 @@
   std::string DataCentre;
   std::mt19937_64 Random;
   bool Announced = false;
+  bool Listed = false;
   bool Busy = false;
   bool Joined = false;
   int Tries = 0;
--- a/Source/UnitTests/Membership/JoiningTests.cpp
+++ b/Source/UnitTests/Membership/JoiningTests.cpp
@@ -82,12 +82,35 @@
   Now += Millis(10'000);
   BOOST_TEST((Tested.next(Now) == DirectoryStep::Announce));
   Tested.announced(true, Now);
+  BOOST_TEST((Tested.next(Now) == DirectoryStep::List));
+  Tested.listed(true, {}, Now);
   Tested.membersKnown(2);
+  Now += Millis(10'000);
   BOOST_TEST((Tested.next(Now) == DirectoryStep::None));
   Tested.membersKnown(1);
   BOOST_TEST((Tested.next(Now) == DirectoryStep::List));
 }
 
+// Seen on a recorded day of the grown fleet of Ashcombe: all nodes started at
+// once, the first announcement of one failed, and a node of another data centre
+// found it before the second. It never listed, and for 16 seconds knew no
+// server of three services.
+BOOST_AUTO_TEST_CASE(ListsAlsoWhenItWasFoundBeforeItsAnnouncement) {
+  Introducer Tested("here", 1);
+  Common::SteadyTime Now{Millis(1000)};
+  BOOST_TEST((Tested.next(Now) == DirectoryStep::Announce));
+  Tested.announced(false, Now);
+  Tested.membersKnown(2);
+  Now += Millis(1000);
+  BOOST_TEST((Tested.next(Now) == DirectoryStep::Announce));
+  Tested.announced(true, Now);
+  BOOST_TEST((Tested.next(Now) == DirectoryStep::List));
+  // A list that fails is asked for again.
+  Tested.listed(false, {}, Now);
+  Now += Millis(1000);
+  BOOST_TEST((Tested.next(Now) == DirectoryStep::List));
+}
+
 BOOST_AUTO_TEST_CASE(TellsCallersWhenRoomComesOrGoes) {
   LoadSharing Tested(true);
   const LoadListeners Few{.Near = 1, .Far = 0};
