--- a/Source/Core/Config/ObjectSetBuilder.cpp
+++ b/Source/Core/Config/ObjectSetBuilder.cpp
@@ -204,10 +204,15 @@
   return *this;
 }
 
+ObjectSetBuilder::Place
+ObjectSetBuilder::placeOf(const std::string &Object) const {
+  const auto Found = Places.find(Object);
+  return Found == Places.end() ? Place{Origin, 0} : Found->second;
+}
+
 void ObjectSetBuilder::addFault(ResultCode Code, const std::string &Object,
                                 const std::string &Detail) {
-  const auto Found = Places.find(Object);
-  const Place Where = Found == Places.end() ? Place{Origin, 0} : Found->second;
+  const Place Where = placeOf(Object);
   Faults.push_back(
       {Code, Where.File, Where.Line, "[" + Object + "] " + Detail});
 }
@@ -228,9 +233,7 @@
     return;
   }
   if (Result.holds(Type, Name)) {
-    const auto Found = Places.find(Section.Name);
-    const Place Earlier =
-        Found == Places.end() ? Place{Origin, 0} : Found->second;
+    const Place Earlier = placeOf(Section.Name);
     Faults.push_back({ResultCode::ObjectDuplicate, Section.File, Section.Line,
                       "[" + Section.Name + "] is defined at " + Earlier.File +
                           ":" + std::to_string(Earlier.Line) + " already"});
--- a/Source/Core/Config/ObjectSetBuilder.h
+++ b/Source/Core/Config/ObjectSetBuilder.h
@@ -49,6 +49,8 @@
   void checkFallbackCycles();
   void checkRouteConflicts();
   void checkSplits();
+  // Of an object that came in no file, the origin.
+  Place placeOf(const std::string &Object) const;
   void addFault(Common::ResultCode Code, const std::string &Object,
                 const std::string &Detail);
 
--- a/Source/Core/Membership/LoadSharing.h
+++ b/Source/Core/Membership/LoadSharing.h
@@ -21,15 +21,15 @@
 //
 // Load pattern: demand swings within a second, and near nodes that last heard
 // of a server while it was full go on leaving it alone when it is free again.
-// In a data centre of 15 nodes with a tenth of a core each, reports to all of
-// them each 30 ms took a third of that, at the crest of the load.
+// Told to 60 callers at that pace, reports took a seventh of all processor time
+// on a day of nodes with a tenth of a core.
 class LoadSharing {
 public:
   // Within a data centre bytes cost nothing but time.
   static constexpr Common::Millis NearInterval{30};
   static constexpr Common::Millis FarInterval{100};
   // With more listeners than this the intervals grow, so that a node sends
-  // about 250 reports a second at most: under 5 ms of processor time.
+  // about 250 reports a second at most.
   static constexpr int FewNear = 4;
   static constexpr int FewFar = 12;
   // A node that calls no more has no use for reports.
--- a/Source/Core/Wire/Compression.cpp
+++ b/Source/Core/Wire/Compression.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-// At 9 a set of 1,100 routes holds up a small VM for over 100 ms.
+// At 9 a set of 1,140 routes takes 7 ms of a whole core in place of 1, for a
+// fifth less; a small VM has a tenth of a core.
 constexpr int CompressionLevel = 3;
 // A patch is mostly references to its base, which the fastest level finds.
 constexpr int PatchLevel = 1;
--- a/Source/UnitTests/Config/NewestFollowerTests.cpp
+++ b/Source/UnitTests/Config/NewestFollowerTests.cpp
@@ -137,7 +137,7 @@
 } // namespace
 
 // Load pattern: changes every fifth of a second to a set of 1,100 routes, and
-// links on which one set takes a third of a second. Read by every node, the
+// links on which one set takes a fifth of a second. Read by every node, the
 // sets held up the calls for 12 seconds of a quiet day.
 BOOST_FIXTURE_TEST_CASE(WaitsAtItsReaderInsteadOfTheSource, InCompany) {
   useReader();
@@ -213,7 +213,7 @@
 }
 
 // Load pattern: fifty of 82 nodes are killed at once, and each one that comes
-// back needs the whole set: half a megabyte from the source, on links of
+// back needs the whole set: 0.2 MB and more from the source, on links of
 // 7 Mbit/s that carry the calls as well.
 BOOST_FIXTURE_TEST_CASE(ANewNodeAsksAPeerThatHasASetFirst, Fixture) {
   Peers[1].Held = 4;
--- a/Tools/scenarios/drain.sh
+++ b/Tools/scenarios/drain.sh
@@ -145,6 +145,5 @@
 Sent=$(sed -n 's/^sent //p' "$Run/load.txt")
 Served=$(sed -n 's/^served //p' "$Run/load.txt")
 Doubled=$(sed -n 's/^doubled //p' "$Run/load.txt")
-Hedged=$(hedged_calls "$Run")
-echo "--- lost $((Sent - Served)), doubled $Doubled, of them hedged at most $Hedged"
-[ "$Sent" -eq "$Served" ] && [ "$Doubled" -le "$Hedged" ]
+echo "--- lost $((Sent - Served)), doubled $Doubled"
+[ "$Sent" -eq "$Served" ] && [ "$Doubled" -eq 0 ]
