--- a/Source/Core/Admission/Ticket.h
+++ b/Source/Core/Admission/Ticket.h
@@ -49,6 +49,17 @@
   }
 };
 
+// The wait for a slot that a call has to expect, and what it comes from.
+struct WaitEstimate {
+  Common::Micros Wait{0};
+  // Waiting calls that go before it.
+  int Ahead = 0;
+  // Slots that those ahead and the call itself are reckoned to get.
+  int Slots = 0;
+  // What calls of its kind hold a slot for; 0 until that is known.
+  Common::Micros UsualTime{0};
+};
+
 // Actions that the decision asks of the service around it.
 struct RunCall {
   TicketId Id = 0;
@@ -56,6 +67,8 @@
 struct RefuseCall {
   TicketId Id = 0;
   Common::ResultCode Code = Common::ResultCode::QueueFull;
+  // None when nothing was reckoned for it.
+  std::optional<WaitEstimate> Reckoned = {};
 };
 using AdmissionAction = std::variant<RunCall, RefuseCall>;
 using AdmissionActions = std::vector<AdmissionAction>;
--- a/Source/Core/Admission/ValueOrder.cpp
+++ b/Source/Core/Admission/ValueOrder.cpp
@@ -20,18 +20,9 @@
                      Common::SteadyTime Now, AdmissionActions &Actions) {
   const bool MayRunNow = Waiting.empty() && Use.hasFreeSlot();
   if (!MayRunNow) {
-    const Common::Micros Wait = expectedWait(Call, Use, Now);
-    if (Call.WaitLimit && Wait > *Call.WaitLimit) {
-      Actions.push_back(RefuseCall{Call.Id, ResultCode::WouldWait});
-      return;
-    }
-    const Common::SteadyTime Ends = Now + Wait + usualTime(Call);
-    if (Ends > Call.Deadline) {
-      Actions.push_back(RefuseCall{Call.Id, ResultCode::DeadlineTooClose});
-      return;
-    }
-    if (Ends > Call.Target && isOverloaded(Now)) {
-      Actions.push_back(RefuseCall{Call.Id, ResultCode::QueueFull});
+    const WaitEstimate Reckoned = estimateWait(Call, Use, Now);
+    if (const auto Code = reasonToRefuse(Call, Reckoned, Now)) {
+      Actions.push_back(RefuseCall{Call.Id, *Code, Reckoned});
       return;
     }
   }
@@ -49,6 +40,19 @@
   Waiting.erase(Last);
 }
 
+std::optional<ResultCode>
+ValueOrder::reasonToRefuse(const Ticket &Call, const WaitEstimate &Reckoned,
+                           Common::SteadyTime Now) const {
+  if (Call.WaitLimit && Reckoned.Wait > *Call.WaitLimit)
+    return ResultCode::WouldWait;
+  const Common::SteadyTime Ends = Now + Reckoned.Wait + Reckoned.UsualTime;
+  if (Ends > Call.Deadline)
+    return ResultCode::DeadlineTooClose;
+  if (Ends > Call.Target && isOverloaded(Now))
+    return ResultCode::QueueFull;
+  return std::nullopt;
+}
+
 std::optional<Ticket> ValueOrder::takeNext(const SlotUse &Use,
                                            Common::SteadyTime Now) {
   if (Waiting.empty() || !Use.hasFreeSlot())
@@ -126,20 +130,26 @@
   return Left.Target < Right.Target;
 }
 
-Common::Micros ValueOrder::expectedWait(const Ticket &Call, const SlotUse &Use,
-                                        Common::SteadyTime Now) const {
-  Common::Micros Ahead{0};
+WaitEstimate ValueOrder::estimateWait(const Ticket &Call, const SlotUse &Use,
+                                      Common::SteadyTime Now) const {
+  WaitEstimate Result;
+  Result.UsualTime = usualTime(Call);
+  Common::Micros Before{0};
   for (const Ticket &Each : Waiting)
-    if (precedes(Each, Call, Now))
-      Ahead += Times.usual(Each.Kind).value_or(Mean);
+    if (precedes(Each, Call, Now)) {
+      Before += Times.usual(Each.Kind).value_or(Mean);
+      ++Result.Ahead;
+    }
   if (!Use.hasFreeSlot())
-    Ahead += Mean;
+    Before += Mean;
   // Calls of tighter kinds go on taking about as many slots as they have now.
   const auto Tighter = std::count_if(
       Use.Running.begin(), Use.Running.end(), [&](const auto &Each) {
         return Each.second.Admitted.TargetLength < Call.TargetLength;
       });
-  return Ahead / std::max<std::int64_t>(Use.Slots - Tighter, 1);
+  Result.Slots = std::max(Use.Slots - static_cast<int>(Tighter), 1);
+  Result.Wait = Before / Result.Slots;
+  return Result;
 }
 
 } // namespace Admission
--- a/Source/Core/Admission/ValueOrder.h
+++ b/Source/Core/Admission/ValueOrder.h
@@ -39,8 +39,11 @@
   bool meetsTarget(const Ticket &Call, Common::SteadyTime Now) const;
   bool precedes(const Ticket &Left, const Ticket &Right,
                 Common::SteadyTime Now) const;
-  Common::Micros expectedWait(const Ticket &Call, const SlotUse &Use,
-                              Common::SteadyTime Now) const;
+  std::optional<Common::ResultCode>
+  reasonToRefuse(const Ticket &Call, const WaitEstimate &Reckoned,
+                 Common::SteadyTime Now) const;
+  WaitEstimate estimateWait(const Ticket &Call, const SlotUse &Use,
+                            Common::SteadyTime Now) const;
 
   std::vector<Ticket> Waiting;
   ServiceTimes Times;
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -71,6 +71,9 @@
   using AttemptKey = std::pair<OriginId, Routing::AttemptId>;
 
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
+  static std::int64_t micros(Common::Duration Length) {
+    return std::chrono::duration_cast<Common::Micros>(Length).count();
+  }
 
   void take(RequestArrived &Part) {
     const Admission::TicketId Id = NextTicket++;
@@ -149,7 +152,7 @@
       if (const auto *Run = std::get_if<Admission::RunCall>(&Each))
         run(Run->Id);
       else if (const auto *Refuse = std::get_if<Admission::RefuseCall>(&Each))
-        refuse(Refuse->Id, Refuse->Code);
+        refuse(Refuse->Id, Refuse->Code, Refuse->Reckoned);
     }
     finishDrain();
   }
@@ -218,17 +221,22 @@
                                     : Admission::Ending::CutOff;
   }
 
-  void refuse(Admission::TicketId Id, Common::ResultCode Code) {
+  void refuse(Admission::TicketId Id, Common::ResultCode Code,
+              const std::optional<Admission::WaitEstimate> &Reckoned = {}) {
     const OpenCall &Call = Calls.at(Id);
     const Routing::ServerLoad Seen = Queue.load();
+    const Admission::WaitEstimate Expected =
+        Reckoned.value_or(Admission::WaitEstimate());
     spdlog::info(
         "event=attempt-refused id={} kind={} server={} code={} {} "
-        "busy={}/{} waiting={} slot-time-us={} left-us={}",
+        "busy={}/{} waiting={} slot-time-us={} left-us={} target-us={} "
+        "waited-us={} expected-wait-us={} ahead={} of-slots={} usual-us={}",
         Call.Request.CorrelationId, Call.Request.Kind, Server.Server,
         Common::resultCodeNumber(Code), Common::resultCodeName(Code),
         Seen.BusySlots, Seen.Slots, Seen.Queued, Seen.SlotTime.count(),
-        std::chrono::duration_cast<Common::Micros>(Call.Deadline - now())
-            .count());
+        micros(Call.Deadline - now()), Call.Request.TargetLength.count(),
+        micros(now() - Call.Arrived), Expected.Wait.count(), Expected.Ahead,
+        Expected.Slots, Expected.UsualTime.count());
     Routing::CallReply Reply;
     Reply.Result = Code;
     reply(Id, std::move(Reply));
--- a/Source/Core/Node/FrontService.h
+++ b/Source/Core/Node/FrontService.h
@@ -248,7 +248,7 @@
         "event=call id={} caller={} version={} service={} kind={} server={} "
         "data-centre={} "
         "attempts={} result={} {} status={} took-us={} queue-us={} "
-        "slot-us={} busy={}/{} waiting={}",
+        "slot-us={} busy={}/{} waiting={} limit-us={} least-usual-us={}",
         Ended.CorrelationId, Ended.Caller, Part.Number, Part.Service, Part.Kind,
         Part.Reply.Server, Part.DataCentre, Part.Attempts,
         Common::resultCodeNumber(Part.Reply.Result),
@@ -257,7 +257,8 @@
             .count(),
         Part.Reply.QueueTime.count(), Part.Reply.ServiceTime.count(),
         Part.Reply.Load.BusySlots, Part.Reply.Load.Slots,
-        Part.Reply.Load.Queued);
+        Part.Reply.Load.Queued, Part.Limit.count(),
+        Part.LeastUsual.value_or(Common::Micros(0)).count());
   }
 
   // Ends a call that never reached the Dispatcher.
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -58,6 +58,11 @@
   // Where the last attempt that ended was sent; empty without one.
   std::string DataCentre;
   Config::Version Number = 0;
+  // The time that the call had in all; 0 without a route.
+  Common::Micros Limit{0};
+  // The quickest of the recent calls of its kind. Set when the call was
+  // refused before any attempt.
+  std::optional<Common::Micros> LeastUsual;
   // When a refused caller should come back.
   std::optional<Common::Micros> ComeBackAfter;
 };
@@ -112,6 +117,7 @@
     std::string Service;
     Config::RequestKind Kind;
     Config::RetryRule Rule;
+    Common::SteadyTime BegunAt;
     Common::SteadyTime Deadline;
     // Where it stands in Deadlines.
     Common::SteadyTime DueAt;
@@ -250,14 +256,12 @@
 DispatchActions Dispatcher<Policy, Budgets>::begin(CallStart &&Start,
                                                    Common::SteadyTime Now) {
   DispatchActions Actions;
+  AnswerCaller Refusal;
+  Refusal.Call = Start.Call;
+  Refusal.Number = InForce;
   const auto Refuse = [&](Common::ResultCode Code) {
-    CallReply Reply;
-    Reply.Result = Code;
-    AnswerCaller Answer;
-    Answer.Call = Start.Call;
-    Answer.Reply = std::move(Reply);
-    Answer.Number = InForce;
-    Actions.push_back(std::move(Answer));
+    Refusal.Reply.Result = Code;
+    Actions.push_back(std::move(Refusal));
     return Actions;
   };
   if (!Set)
@@ -274,8 +278,13 @@
   Call.Rule = Set->retryRules().at(Call.Kind.Retry);
   const Common::Micros Limit =
       std::min(Start.Limit.value_or(Call.Kind.Deadline), Call.Kind.Deadline);
-  if (const auto Code = reasonToRefuse(Call, Limit, Now))
+  if (const auto Code = reasonToRefuse(Call, Limit, Now)) {
+    Refusal.Service = std::move(Call.Service);
+    Refusal.Limit = Limit;
+    Refusal.LeastUsual = Kinds[Call.Kind.Name].Latency.low();
+    Refusal.Kind = std::move(Call.Kind.Name);
     return Refuse(*Code);
+  }
   Call.Start = std::move(Start);
   open(std::move(Call), Limit, Now, Actions);
   return Actions;
@@ -299,6 +308,7 @@
                                        Common::SteadyTime Now,
                                        DispatchActions &Actions) {
   const CallId Id = Call.Start.Call;
+  Call.BegunAt = Now;
   Call.Deadline = Now + Limit;
   Call.Target = Call.Kind.TargetLatency.count() > 0
                     ? Now + std::min(Call.Kind.TargetLatency, Limit)
@@ -728,6 +738,8 @@
   Answer.Call = Call;
   Answer.Attempts = Ended.AttemptsMade;
   Answer.Number = Ended.Number;
+  Answer.Limit = std::chrono::duration_cast<Common::Micros>(Ended.Deadline -
+                                                            Ended.BegunAt);
   if (Common::isNotRun(Reply.Result))
     Answer.ComeBackAfter =
         std::clamp<Common::Micros>(Ended.LeastWait.value_or(Common::Micros(0)),
--- a/Source/UnitTests/Admission/ValueOrderTests.cpp
+++ b/Source/UnitTests/Admission/ValueOrderTests.cpp
@@ -98,6 +98,19 @@
   BOOST_TEST((Refused[0].Code == ResultCode::DeadlineTooClose));
 }
 
+BOOST_FIXTURE_TEST_CASE(TellsWhatARefusalWasReckonedFrom, Fixture) {
+  teach(1, Millis(100));
+  fill();
+  offer(1, Millis(300), Millis(1000));
+  offer(1, Millis(310), Millis(1000), Millis(20));
+  BOOST_REQUIRE_EQUAL(Refused.size(), 1U);
+  BOOST_REQUIRE(Refused[0].Reckoned);
+  BOOST_TEST((Refused[0].Reckoned->Wait == Millis(100)));
+  BOOST_TEST(Refused[0].Reckoned->Ahead == 1);
+  BOOST_TEST(Refused[0].Reckoned->Slots == Slots);
+  BOOST_TEST((Refused[0].Reckoned->UsualTime == Millis(100)));
+}
+
 BOOST_FIXTURE_TEST_CASE(TellsHowLongCallsHoldASlot, Fixture) {
   teach(1, Millis(100));
   BOOST_TEST((Queue.load().SlotTime == Millis(100)));
--- a/Source/UnitTests/Routing/RetryTests.cpp
+++ b/Source/UnitTests/Routing/RetryTests.cpp
@@ -177,6 +177,16 @@
   attemptOf(begin("/read", {}, Millis(30)));
 }
 
+BOOST_FIXTURE_TEST_CASE(TellsWhatACallWithoutAnAttemptWasRefusedFor, Node) {
+  serveReads(64, Millis(50));
+  const auto Refused = begin("/read", {}, Millis(30));
+  const auto &Answer = std::get<AnswerCaller>(Refused.back());
+  BOOST_TEST(Answer.Service == "s");
+  BOOST_TEST(Answer.Kind == "read");
+  BOOST_TEST((Answer.Limit == Millis(30)));
+  BOOST_TEST((Answer.LeastUsual == Common::Micros(Millis(50))));
+}
+
 BOOST_FIXTURE_TEST_CASE(RefusesCallsOverTheLimit, Node) {
   for (int Call = 0; Call < 1000; ++Call)
     attemptOf(begin("/read"));
