--- a/Source/Core/Node/FrontService.h
+++ b/Source/Core/Node/FrontService.h
@@ -248,7 +248,8 @@
         "event=call id={} caller={} version={} service={} kind={} server={} "
         "data-centre={} "
         "attempts={} result={} {} status={} took-us={} queue-us={} "
-        "slot-us={} busy={}/{} waiting={} limit-us={} least-usual-us={}",
+        "slot-us={} busy={}/{} waiting={} limit-us={} least-usual-us={} "
+        "unrouted={}",
         Ended.CorrelationId, Ended.Caller, Part.Number, Part.Service, Part.Kind,
         Part.Reply.Server, Part.DataCentre, Part.Attempts,
         Common::resultCodeNumber(Part.Reply.Result),
@@ -258,7 +259,7 @@
         Part.Reply.QueueTime.count(), Part.Reply.ServiceTime.count(),
         Part.Reply.Load.BusySlots, Part.Reply.Load.Slots,
         Part.Reply.Load.Queued, Part.Limit.count(),
-        Part.LeastUsual.value_or(Common::Micros(0)).count());
+        Part.LeastUsual.value_or(Common::Micros(0)).count(), Part.Unrouted);
   }
 
   // Ends a call that never reached the Dispatcher.
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -63,6 +63,8 @@
   // The quickest of the recent calls of its kind. Set when the call was
   // refused before any attempt.
   std::optional<Common::Micros> LeastUsual;
+  // Host and path of a call that no route takes.
+  std::string Unrouted;
   // When a refused caller should come back.
   std::optional<Common::Micros> ComeBackAfter;
 };
@@ -168,6 +170,8 @@
   // Bounds of what a refused caller is told to wait.
   static constexpr Common::Millis LeastComeBack{100};
   static constexpr Common::Millis MostComeBack{1'000};
+  // Bytes of the host and path that are told of a call without a route.
+  static constexpr std::size_t MaxUnroutedLength = 200;
   // A retry may not be retried further down the chain.
   static constexpr int RetryAttemptsBelow = 1;
   static constexpr int UnlimitedAttempts = 100;
@@ -268,8 +272,10 @@
     return Refuse(Common::ResultCode::NoConfiguration);
   const Config::Route *Route =
       Set->findRoute(Start.Host, Start.Method, Start.Path);
-  if (!Route)
+  if (!Route) {
+    Refusal.Unrouted = (Start.Host + Start.Path).substr(0, MaxUnroutedLength);
     return Refuse(Common::ResultCode::NoRoute);
+  }
   OpenCall Call;
   Call.Set = Set;
   Call.Number = InForce;
--- a/Source/UnitTests/Routing/DispatcherTests.cpp
+++ b/Source/UnitTests/Routing/DispatcherTests.cpp
@@ -130,7 +130,9 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(RefusesWithoutRouteOrSet, Fixture) {
-  BOOST_TEST((answered(begin(1, "/none")).Reply.Result == ResultCode::NoRoute));
+  const auto Unrouted = answered(begin(1, "/none"));
+  BOOST_TEST((Unrouted.Reply.Result == ResultCode::NoRoute));
+  BOOST_TEST(Unrouted.Unrouted == "/none");
   Dispatcher<RoundRobinChoice> Fresh("here", RoundRobinChoice());
   CallStart Start;
   Start.Call = 1;
