Owe each kind a share of the slots, so that no route is starved above capacity

Cause: ValueOrder is a strict order by latency target. Above capacity the kinds at its end are never reached; routes that were added have the loosest target (1,000 ms beside 300 ms). The wait reckoned for them took every slot that a tighter kind held at that moment for lost, so that most were refused at once with 103, at 5 to 14 calls ahead of nine slots. Class: strict priority without a bound on how far a class is set back.

Why this works: a kind that got less than half of what the waiting kinds got on average (decayed over 2 s) goes first until it has caught up. A kind that gets nothing is soon below that, however many kinds there are; a rare one always is. The wait is reckoned from the same shares: tighter kinds take what they took on average, and never more than leaves the kind its own. Such a kind is not refused for a target that it always misses.

More kinds than slots, a loose kind of some weight, and a light tight kind beside a loose flood are tested.

--- a/Source/Core/Admission/Ticket.h
+++ b/Source/Core/Admission/Ticket.h
@@ -55,7 +55,7 @@
   // Waiting calls that go before it.
   int Ahead = 0;
   // Slots that those ahead and the call itself are reckoned to get.
-  int Slots = 0;
+  double Slots = 0;
   // What calls of its kind hold a slot for; 0 until that is known.
   Common::Micros UsualTime{0};
 };
--- a/Source/Core/Admission/ValueOrder.cpp
+++ b/Source/Core/Admission/ValueOrder.cpp
@@ -1,6 +1,8 @@
 #include "Admission/ValueOrder.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 
 namespace Admission {
 
@@ -13,42 +15,49 @@
 // Calls that wait for longer than this without a break show that demand is
 // above capacity, and not just a moment's clump.
 constexpr Common::Millis LastingWait{600};
+// What a kind is owed, of the mean share of the kinds that wait. Below 1, so
+// that targets decide as long as no kind is far behind.
+constexpr double OwedShare = 0.5;
 
 } // namespace
 
 void ValueOrder::add(const Ticket &Call, const SlotUse &Use,
                      Common::SteadyTime Now, AdmissionActions &Actions) {
   const bool MayRunNow = Waiting.empty() && Use.hasFreeSlot();
-  if (!MayRunNow) {
-    const WaitEstimate Reckoned = estimateWait(Call, Use, Now);
-    if (const auto Code = reasonToRefuse(Call, Reckoned, Now)) {
-      Actions.push_back(RefuseCall{Call.Id, *Code, Reckoned});
-      return;
-    }
-  }
   if (Waiting.empty())
     WaitingSince = Now;
-  Waiting.push_back(Call);
+  Waiting.push_back({Call});
+  if (MayRunNow)
+    return;
+  const int KindsWaiting = findOwed(Now);
+  const WaitEstimate Reckoned = estimateWait(Use, KindsWaiting, Now);
+  if (const auto Code = reasonToRefuse(Reckoned, Now)) {
+    Actions.push_back(RefuseCall{Call.Id, *Code, Reckoned});
+    Waiting.pop_back();
+    return;
+  }
   if (Waiting.size() <= MaxWaitingPerSlot * static_cast<std::size_t>(Use.Slots))
     return;
   const auto Last =
       std::max_element(Waiting.begin(), Waiting.end(),
-                       [&](const Ticket &Left, const Ticket &Right) {
+                       [&](const WaitingCall &Left, const WaitingCall &Right) {
                          return precedes(Left, Right, Now);
                        });
-  Actions.push_back(RefuseCall{Last->Id, ResultCode::QueueFull});
+  Actions.push_back(RefuseCall{Last->Call.Id, ResultCode::QueueFull});
   Waiting.erase(Last);
 }
 
 std::optional<ResultCode>
-ValueOrder::reasonToRefuse(const Ticket &Call, const WaitEstimate &Reckoned,
+ValueOrder::reasonToRefuse(const WaitEstimate &Reckoned,
                            Common::SteadyTime Now) const {
+  const auto &[Call, IsOwed] = Waiting.back();
   if (Call.WaitLimit && Reckoned.Wait > *Call.WaitLimit)
     return ResultCode::WouldWait;
   const Common::SteadyTime Ends = Now + Reckoned.Wait + Reckoned.UsualTime;
   if (Ends > Call.Deadline)
     return ResultCode::DeadlineTooClose;
-  if (Ends > Call.Target && isOverloaded(Now))
+  // A kind that always misses its target would else get nothing at all.
+  if (Ends > Call.Target && isOverloaded(Now) && !IsOwed)
     return ResultCode::QueueFull;
   return std::nullopt;
 }
@@ -57,30 +66,40 @@
                                            Common::SteadyTime Now) {
   if (Waiting.empty() || !Use.hasFreeSlot())
     return std::nullopt;
+  if (Waiting.size() > 1)
+    findOwed(Now);
   const auto First =
       std::min_element(Waiting.begin(), Waiting.end(),
-                       [&](const Ticket &Left, const Ticket &Right) {
+                       [&](const WaitingCall &Left, const WaitingCall &Right) {
                          return precedes(Left, Right, Now);
                        });
-  Ticket Next = *First;
+  Ticket Next = std::move(First->Call);
   Waiting.erase(First);
+  Shares.charge(Next.Kind, Next.TargetLength,
+                Times.usual(Next.Kind).value_or(Mean), Now);
   return Next;
 }
 
 bool ValueOrder::withdraw(TicketId Id) {
-  return std::erase_if(Waiting,
-                       [Id](const Ticket &Each) { return Each.Id == Id; }) > 0;
+  return std::erase_if(Waiting, [Id](const WaitingCall &Each) {
+           return Each.Call.Id == Id;
+         }) > 0;
 }
 
 void ValueOrder::expire(Common::SteadyTime Now, AdmissionActions &Actions) {
-  std::erase_if(Waiting, [&](const Ticket &Call) {
+  const bool Overloaded = isOverloaded(Now);
+  if (Overloaded)
+    findOwed(Now);
+  std::erase_if(Waiting, [&](const WaitingCall &Each) {
+    const Ticket &Call = Each.Call;
     // A call that has just come is tried, so that wrong estimates mend.
     const bool Waited = Call.Arrived < Now;
     const Common::Micros Needed = Waited ? usualTime(Call) : Common::Micros(0);
     const bool IsHopeless = Now + Needed >= Call.Deadline;
     // Calls that are in time go first as long as the overload lasts, so that
     // those which are late would only be held in vain.
-    const bool IsLate = Waited && isOverloaded(Now) && !meetsTarget(Call, Now);
+    const bool IsLate =
+        Waited && Overloaded && !Each.IsOwed && !meetsTarget(Call, Now);
     if (!IsHopeless && !IsLate)
       return false;
     Actions.push_back(RefuseCall{Call.Id, IsHopeless
@@ -91,8 +110,8 @@
 }
 
 void ValueOrder::refuseAll(ResultCode Code, AdmissionActions &Actions) {
-  for (const Ticket &Each : Waiting)
-    Actions.push_back(RefuseCall{Each.Id, Code});
+  for (const WaitingCall &Each : Waiting)
+    Actions.push_back(RefuseCall{Each.Call.Id, Code});
   Waiting.clear();
 }
 
@@ -116,39 +135,61 @@
   return Now + usualTime(Call) <= Call.Target;
 }
 
-bool ValueOrder::precedes(const Ticket &Left, const Ticket &Right,
+int ValueOrder::findOwed(Common::SteadyTime Now) {
+  std::map<std::string_view, double> Slots;
+  double Sum = 0;
+  for (const WaitingCall &Each : Waiting) {
+    const auto [Held, IsNew] = Slots.try_emplace(Each.Call.Kind, 0);
+    if (!IsNew)
+      continue;
+    Held->second = Shares.slotsOf(Each.Call.Kind, Now);
+    Sum += Held->second;
+  }
+  const int Kinds = static_cast<int>(Slots.size());
+  for (WaitingCall &Each : Waiting)
+    Each.IsOwed = Slots.at(Each.Call.Kind) * Kinds < OwedShare * Sum;
+  return Kinds;
+}
+
+bool ValueOrder::precedes(const WaitingCall &Left, const WaitingCall &Right,
                           Common::SteadyTime Now) const {
-  const bool LeftInTime = meetsTarget(Left, Now);
-  if (LeftInTime != meetsTarget(Right, Now))
+  if (Left.IsOwed != Right.IsOwed)
+    return Left.IsOwed;
+  const bool LeftInTime = meetsTarget(Left.Call, Now);
+  if (LeftInTime != meetsTarget(Right.Call, Now))
     return LeftInTime;
   if (!LeftInTime)
-    return Left.Deadline < Right.Deadline;
-  if (Left.TargetLength != Right.TargetLength)
-    return Left.TargetLength < Right.TargetLength;
-  if (Left.Priority != Right.Priority)
-    return Left.Priority < Right.Priority;
-  return Left.Target < Right.Target;
+    return Left.Call.Deadline < Right.Call.Deadline;
+  if (Left.Call.TargetLength != Right.Call.TargetLength)
+    return Left.Call.TargetLength < Right.Call.TargetLength;
+  if (Left.Call.Priority != Right.Call.Priority)
+    return Left.Call.Priority < Right.Call.Priority;
+  return Left.Call.Target < Right.Call.Target;
 }
 
-WaitEstimate ValueOrder::estimateWait(const Ticket &Call, const SlotUse &Use,
+WaitEstimate ValueOrder::estimateWait(const SlotUse &Use, int KindsWaiting,
                                       Common::SteadyTime Now) const {
+  const WaitingCall &Arriving = Waiting.back();
   WaitEstimate Result;
-  Result.UsualTime = usualTime(Call);
+  Result.UsualTime = usualTime(Arriving.Call);
   Common::Micros Before{0};
-  for (const Ticket &Each : Waiting)
-    if (precedes(Each, Call, Now)) {
-      Before += Times.usual(Each.Kind).value_or(Mean);
+  for (const WaitingCall &Each : Waiting)
+    if (precedes(Each, Arriving, Now)) {
+      Before += Times.usual(Each.Call.Kind).value_or(Mean);
       ++Result.Ahead;
     }
   if (!Use.hasFreeSlot())
     Before += Mean;
-  // Calls of tighter kinds go on taking about as many slots as they have now.
-  const auto Tighter = std::count_if(
-      Use.Running.begin(), Use.Running.end(), [&](const auto &Each) {
-        return Each.second.Admitted.TargetLength < Call.TargetLength;
-      });
-  Result.Slots = std::max(Use.Slots - static_cast<int>(Tighter), 1);
-  Result.Wait = Before / Result.Slots;
+  // Calls of tighter kinds go on coming, but take no more than leaves this
+  // kind its share.
+  const double Tighter =
+      Arriving.IsOwed ? 0
+                      : Shares.slotsOfTighter(Arriving.Call.TargetLength, Now);
+  Result.Slots =
+      std::max(Use.Slots - Tighter, OwedShare * Use.Slots / KindsWaiting);
+  if (Result.Slots > 0)
+    Result.Wait = Common::Micros(static_cast<std::int64_t>(
+        static_cast<double>(Before.count()) / Result.Slots));
   return Result;
 }
 
--- a/Source/Core/Admission/ValueOrder.h
+++ b/Source/Core/Admission/ValueOrder.h
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "Admission/ServiceTimes.h"
+#include "Admission/SlotShares.h"
 #include "Admission/WaitingOrder.h"
 
 namespace Admission {
@@ -21,6 +22,11 @@
 // call would wait until just past its target, and hardly any answer would be
 // worth much; here those that cannot make it give way to those that can, and
 // are told so at once.
+//
+// Above capacity a strict order would never reach the kinds at its end. Each
+// kind is therefore owed a share of the slots: one that got less than half of
+// what the waiting kinds got on average goes before all others, until it has
+// caught up.
 class ValueOrder {
 public:
   void add(const Ticket &Call, const SlotUse &Use, Common::SteadyTime Now,
@@ -34,19 +40,28 @@
   Common::Micros slotTime() const { return Mean; }
 
 private:
+  struct WaitingCall {
+    Ticket Call;
+    // Its kind got less than its share of the slots.
+    bool IsOwed = false;
+  };
+
   Common::Micros usualTime(const Ticket &Call) const;
   bool isOverloaded(Common::SteadyTime Now) const;
   bool meetsTarget(const Ticket &Call, Common::SteadyTime Now) const;
-  bool precedes(const Ticket &Left, const Ticket &Right,
+  bool precedes(const WaitingCall &Left, const WaitingCall &Right,
                 Common::SteadyTime Now) const;
+  // Finds the kinds that are owed, and gives the number of kinds that wait.
+  int findOwed(Common::SteadyTime Now);
+  // Of the call that came last.
   std::optional<Common::ResultCode>
-  reasonToRefuse(const Ticket &Call, const WaitEstimate &Reckoned,
-                 Common::SteadyTime Now) const;
-  WaitEstimate estimateWait(const Ticket &Call, const SlotUse &Use,
+  reasonToRefuse(const WaitEstimate &Reckoned, Common::SteadyTime Now) const;
+  WaitEstimate estimateWait(const SlotUse &Use, int KindsWaiting,
                             Common::SteadyTime Now) const;
 
-  std::vector<Ticket> Waiting;
+  std::vector<WaitingCall> Waiting;
   ServiceTimes Times;
+  SlotShares Shares;
   // Since when calls have been waiting without a break.
   std::optional<Common::SteadyTime> WaitingSince;
   // Mean time that calls of all kinds hold a slot.
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -230,7 +230,7 @@
     spdlog::info(
         "event=attempt-refused id={} kind={} server={} code={} {} "
         "busy={}/{} waiting={} slot-time-us={} left-us={} target-us={} "
-        "waited-us={} expected-wait-us={} ahead={} of-slots={} usual-us={}",
+        "waited-us={} expected-wait-us={} ahead={} of-slots={:.1f} usual-us={}",
         Call.Request.CorrelationId, Call.Request.Kind, Server.Server,
         Common::resultCodeNumber(Code), Common::resultCodeName(Code),
         Seen.BusySlots, Seen.Slots, Seen.Queued, Seen.SlotTime.count(),
--- a/Source/UnitTests/Admission/StarvationTests.cpp
+++ b/Source/UnitTests/Admission/StarvationTests.cpp
@@ -1,3 +1,4 @@
+#include <functional>
 #include <map>
 #include <random>
 
@@ -15,6 +16,7 @@
 using Common::Millis;
 
 constexpr int Slots = 9;
+constexpr std::size_t ManyKinds = 18;
 constexpr Millis Length{60'000};
 constexpr std::uint64_t Seeds = 10;
 
@@ -180,8 +182,10 @@
 
 BOOST_AUTO_TEST_CASE(MoreKindsThanSlotsStarveNone) {
   std::vector<Stream> Streams;
-  for (int Index = 0; Index < 2 * Slots; ++Index)
-    Streams.push_back({0.1, Millis(50), Millis(200 + 20 * Index), Millis(900)});
+  Streams.reserve(ManyKinds);
+  for (std::size_t Index = 0; Index < ManyKinds; ++Index)
+    Streams.push_back(
+        {0.1, Millis(50), Millis(200) + Index * Millis(20), Millis(900)});
   const auto Result = replay(Streams);
   int Calls = 0;
   int Served = 0;
