Bound what answers without end may take, in head, body and time

Ruled out: the head (64 KB), interim and foreign answers (2), bytes after an answer.

Cause: bounds were those of the parser, which has none for lines of a chunk, makes room for whatever length is stated, and knows one answer only. Now: what the parser does not take is bounded by the limit of a head; the body is of our own type, which looks at the limit first; a body fits a frame between nodes; all answers under way share 24 MB, and above it the longest is given up; one connection is read for 256 KB a turn; a stream whose bytes cannot be taken ends.

--- a/Source/Core/Http/KeptClient.cpp
+++ b/Source/Core/Http/KeptClient.cpp
@@ -1,5 +1,6 @@
 #include "Http/KeptClient.h"
 
+#include <algorithm>
 #include <charconv>
 #include <list>
 #include <optional>
@@ -7,9 +8,9 @@
 #include <vector>
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "Http/BeastText.h"
+#include "Http/BoundedBody.h"
 #include "Net/ByteStream.h"
 
 namespace Http {
@@ -18,10 +19,8 @@
 
 namespace beast = boost::beast;
 using Common::SteadyTime;
-using Parser = beast::http::response_parser<beast::http::string_body>;
+using Parser = beast::http::response_parser<BoundedBody>;
 
-constexpr std::uint32_t MaxAnswerHeaderBytes = 64 << 10;
-constexpr std::uint64_t MaxAnswerBodyBytes = 64 << 20;
 // Answers to other requests that are skipped before ours.
 constexpr int MaxForeignAnswers = 2;
 // Idle time of servers that state none; below the ten seconds that are usual.
@@ -36,8 +35,8 @@
 // Reads answers from one connection and skips those of other requests.
 class AnswerReader {
 public:
-  explicit AnswerReader(const KeptRequest &Asked)
-      : Method(Asked.Method), EchoedField(Asked.EchoedField) {
+  AnswerReader(const KeptRequest &Asked, const AnswerLimits &Limits)
+      : Limits(Limits), Method(Asked.Method), EchoedField(Asked.EchoedField) {
     const auto Sent = Asked.Fields.find(EchoedField);
     if (Sent != Asked.Fields.end())
       ExpectedEcho = Sent->second;
@@ -58,13 +57,19 @@
   bool hasRest() const { return !Incoming.empty(); }
   bool mayBeKept() const { return Kept; }
   Response takeAnswer() { return std::move(Answer); }
+  std::size_t heldBytes() const {
+    return Incoming.size() + Current->get().body().Text.size();
+  }
+  // Of an answer that was malformed.
+  const std::string &fault() const { return Why; }
 
 private:
   void begin() {
     Current = std::make_unique<Parser>();
     Current->eager(true);
-    Current->header_limit(MaxAnswerHeaderBytes);
-    Current->body_limit(MaxAnswerBodyBytes);
+    Current->header_limit(static_cast<std::uint32_t>(Limits.HeadBytes));
+    Current->body_limit(Limits.BodyBytes);
+    Current->get().body().Limit = Limits.BodyBytes;
     Current->skip(Method == "HEAD");
   }
 
@@ -75,7 +80,7 @@
         return Step;
       if (!isOurs()) {
         if (++Foreign > MaxForeignAnswers)
-          return Progress::Malformed;
+          return malformed("only answers to other requests came");
         begin();
         continue;
       }
@@ -97,23 +102,32 @@
     }
     Incoming.erase(0, Used);
     if (Fault && Fault != beast::http::error::need_more)
-      return Progress::Malformed;
+      return malformed(Fault.message());
+    // The parser bounds the head, but no line of a chunk or a trailer.
+    if (!Current->is_done() && Incoming.size() > Limits.HeadBytes)
+      return malformed("a line or a head is over " +
+                       std::to_string(Limits.HeadBytes) + " bytes");
     if (!Current->is_done() && AtEnd && Current->is_header_done()) {
       Fault = {};
       Current->put_eof(Fault);
       if (Fault)
-        return Progress::Malformed;
+        return malformed(Fault.message());
     }
     if (!Current->is_done())
-      return AtEnd ? Progress::Malformed : Progress::NeedMore;
+      return AtEnd ? malformed("it ends early") : Progress::NeedMore;
     Kept = Current->keep_alive() && !Current->need_eof();
     auto Message = Current->release();
     Answer.Status = static_cast<int>(Message.result_int());
     Answer.Fields = toHeaders(Message);
-    Answer.Body = std::move(Message.body());
+    Answer.Body = std::move(Message.body().Text);
     return Progress::Done;
   }
 
+  Progress malformed(const std::string &Fault) {
+    Why = "the answer is malformed: " + Fault;
+    return Progress::Malformed;
+  }
+
   bool isOurs() const {
     constexpr int LastInterim = 199;
     if (Answer.Status <= LastInterim)
@@ -124,12 +138,14 @@
     return Echo == Answer.Fields.end() ? false : Echo->second == ExpectedEcho;
   }
 
+  AnswerLimits Limits;
   std::string Method;
   std::string EchoedField;
   std::string ExpectedEcho;
   std::string Incoming;
   std::unique_ptr<Parser> Current;
   Response Answer;
+  std::string Why;
   int Foreign = 0;
   bool Begun = false;
   bool Kept = false;
@@ -189,7 +205,10 @@
     Common::Duration IdleLimit = DefaultIdleLimit;
   };
 
-  explicit Impl(Kernel::Task &Home) : Home(Home), Clock(Home) { sweep(); }
+  Impl(Kernel::Task &Home, const AnswerLimits &Limits)
+      : Home(Home), Clock(Home), Limits(Limits) {
+    sweep();
+  }
 
   static SteadyTime now() { return std::chrono::steady_clock::now(); }
 
@@ -197,6 +216,8 @@
   void start(TransferId Id, Transfer &Task, bool OnNewConnection);
   void takeBytes(ConnectionId Id, std::string_view Bytes);
   void settle(ConnectionId Id, Progress Step);
+  std::size_t heldBytes() const;
+  void giveUpTheLongest();
   void close(ConnectionId Id, Net::StreamEnd How, const std::string &Why);
   void complete(ConnectionId Id);
   void fail(TransferId Id, bool MayHaveRun, const std::string &Why);
@@ -205,6 +226,7 @@
 
   Kernel::Task &Home;
   Kernel::Timers Clock;
+  AnswerLimits Limits;
   std::string Server;
   std::unordered_map<TransferId, Transfer> Transfers;
   std::unordered_map<ConnectionId, Connection> Connections;
@@ -248,7 +270,7 @@
     Way = open();
   Connection &Used = Connections.at(Way);
   Used.Current = Id;
-  Used.Reader.emplace(Task.Asked);
+  Used.Reader.emplace(Task.Asked, Limits);
   Task.Way = Way;
   Used.Stream->write(encode(Task.Asked, Used.Server));
 }
@@ -264,18 +286,51 @@
     return;
   }
   settle(Id, Found->second.Reader->take(Bytes));
+  const auto Still = Connections.find(Id);
+  const bool IsLong = Still != Connections.end() && Still->second.Reader &&
+                      Still->second.Reader->heldBytes() > Limits.HeadBytes;
+  if (IsLong && heldBytes() > Limits.HeldBytes)
+    giveUpTheLongest();
 }
 
 void KeptClient::Impl::settle(ConnectionId Id, Progress Step) {
   if (Step == Progress::Done) {
     complete(Id);
   } else if (Step == Progress::Malformed) {
-    const TransferId Task = Connections.at(Id).Current;
+    const Connection &Ended = Connections.at(Id);
+    const TransferId Task = Ended.Current;
+    const std::string Why = Ended.Reader->fault();
     drop(Id);
-    fail(Task, true, "the answer is malformed");
+    fail(Task, true, Why);
   }
 }
 
+std::size_t KeptClient::Impl::heldBytes() const {
+  std::size_t Sum = 0;
+  for (const auto &[Id, Each] : Connections)
+    if (Each.Reader)
+      Sum += Each.Reader->heldBytes();
+  return Sum;
+}
+
+// Where bytes come without end on several connections, the calls with usual
+// answers go on.
+void KeptClient::Impl::giveUpTheLongest() {
+  const auto Held = [](const auto &Each) {
+    return Each.second.Reader ? Each.second.Reader->heldBytes() : 0;
+  };
+  const auto Longest =
+      std::max_element(Connections.begin(), Connections.end(),
+                       [&](const auto &Left, const auto &Right) {
+                         return Held(Left) < Held(Right);
+                       });
+  const TransferId Task = Longest->second.Current;
+  drop(Longest->first);
+  fail(Task, true,
+       "all answers under way are over " + std::to_string(Limits.HeldBytes) +
+           " bytes, and this is the longest");
+}
+
 void KeptClient::Impl::close(ConnectionId Id, Net::StreamEnd How,
                              const std::string &Why) {
   const auto Found = Connections.find(Id);
@@ -373,8 +428,8 @@
   }
 }
 
-KeptClient::KeptClient(Kernel::Task &Home)
-    : Self(std::make_unique<Impl>(Home)) {}
+KeptClient::KeptClient(Kernel::Task &Home, const AnswerLimits &Limits)
+    : Self(std::make_unique<Impl>(Home, Limits)) {}
 KeptClient::~KeptClient() = default;
 
 void KeptClient::useServer(const std::string &Where) { Self->Server = Where; }
@@ -407,4 +462,6 @@
 
 std::uint64_t KeptClient::connectionsOpened() const { return Self->Opened; }
 
+std::size_t KeptClient::heldBytes() const { return Self->heldBytes(); }
+
 } // namespace Http
--- a/Source/Core/Http/KeptClient.h
+++ b/Source/Core/Http/KeptClient.h
@@ -25,12 +25,22 @@
   bool MayResend = false;
 };
 
+// Bounds of what a server may answer; bytes may come without end. A request
+// whose answer is over one fails, and its connection is closed.
+struct AnswerLimits {
+  // Status line and fields; a line of a chunk or a trailer as well.
+  std::size_t HeadBytes = 64 << 10;
+  std::size_t BodyBytes = 7 << 20;
+  // Of all answers under way; a small VM has under 90 MB in all.
+  std::size_t HeldBytes = 24 << 20;
+};
+
 // Sends requests to one server at a time over connections that are kept, one
 // request at a time on each. Bytes that belong to no request end their
 // connection and reach nobody.
 class KeptClient {
 public:
-  explicit KeptClient(Kernel::Task &Home);
+  explicit KeptClient(Kernel::Task &Home, const AnswerLimits &Limits = {});
   ~KeptClient();
   KeptClient(const KeptClient &) = delete;
   KeptClient &operator=(const KeptClient &) = delete;
@@ -43,6 +53,8 @@
   void cancel(TransferId Transfer);
 
   std::uint64_t connectionsOpened() const;
+  // Bytes of answers that are not complete yet.
+  std::size_t heldBytes() const;
 
 private:
   struct Impl;
--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -8,6 +8,7 @@
 #include <ace/SOCK_Connector.h>
 #include <ace/SOCK_Stream.h>
 #include <netinet/tcp.h>
+#include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
 namespace Net {
@@ -15,6 +16,9 @@
 namespace {
 
 constexpr std::size_t ReadChunkBytes = 64 << 10;
+// Read in one turn of the loop, so that a peer that sends as fast as it is
+// read does not keep the others waiting.
+constexpr int MaxChunksPerTurn = 4;
 // The kernel gives up on unacknowledged data after this. Above the longest
 // retransmission series that a lossy link of our users causes.
 constexpr unsigned int UserTimeoutMillis = 5000;
@@ -47,6 +51,7 @@
   void onReady(Kernel::IoReadiness Ready);
   void finishConnect();
   void readAll();
+  void deliver(std::string_view Bytes);
   void writeAll();
   void close(StreamEnd How, const std::string &Why);
 
@@ -109,7 +114,8 @@
 void ByteStream::Impl::readAll() {
   const std::shared_ptr<bool> Lives = Alive;
   static thread_local std::array<char, ReadChunkBytes> Chunk;
-  while (*Lives && !Closed && WantsRead) {
+  for (int Chunks = 0;
+       *Lives && !Closed && WantsRead && Chunks < MaxChunksPerTurn; ++Chunks) {
     const ssize_t Count = Stream.recv(Chunk.data(), Chunk.size());
     if (Count < 0 && wouldBlock())
       return;
@@ -122,12 +128,26 @@
       return;
     }
     if (!Finishing)
-      Wired.OnBytes({Chunk.data(), static_cast<std::size_t>(Count)});
+      deliver({Chunk.data(), static_cast<std::size_t>(Count)});
     if (static_cast<std::size_t>(Count) < Chunk.size())
       return;
   }
 }
 
+// A connection whose bytes cannot be taken ends; left open it would be ready
+// again at once, for ever.
+void ByteStream::Impl::deliver(std::string_view Bytes) {
+  const std::shared_ptr<bool> Lives = Alive;
+  try {
+    Wired.OnBytes(Bytes);
+  } catch (const std::exception &Fault) {
+    spdlog::error("event=bytes-refused count={} reason=\"{}\"", Bytes.size(),
+                  Fault.what());
+    if (*Lives)
+      close(StreamEnd::Broken, Fault.what());
+  }
+}
+
 void ByteStream::Impl::writeAll() {
   while (Written < Outgoing.size()) {
     const ssize_t Count = ::send(Stream.get_handle(), Outgoing.data() + Written,
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -15,6 +15,7 @@
 #include "Node/CallResponse.h"
 #include "Node/Messages.h"
 #include "Node/NodeSettings.h"
+#include "Wire/FrameSocket.h"
 
 namespace Node {
 
@@ -34,7 +35,9 @@
 
   void start() {
     ToPeers = FindPeers();
-    Transport = std::make_unique<Http::KeptClient>(Home);
+    Http::AnswerLimits Answers;
+    Answers.BodyBytes = Wire::MaxFrameBytes - FrameOverhead;
+    Transport = std::make_unique<Http::KeptClient>(Home, Answers);
     watchPauses();
   }
 
@@ -65,6 +68,8 @@
   // Time beyond the deadline in which the server may still say itself that it
   // has passed.
   static constexpr Common::Millis ServerSlack{30};
+  // Bytes of a frame that an answer's fields and the load beside it may take.
+  static constexpr std::size_t FrameOverhead = 1 << 20;
   // Calls over which the share of failed ones is smoothed.
   static constexpr double FailureMemory = 12;
 
