Bound the lines of a caller's chunked body as well

Such a request is now refused with 431, as a head over its limit is. RefusesALineOfABodyWithoutEnd fails without (no answer, 2 checks).

--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -6,9 +6,9 @@
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "Http/BeastText.h"
+#include "Http/BoundedBody.h"
 #include "Net/Listener.h"
 
 namespace Http {
@@ -17,7 +17,7 @@
 
 namespace beast = boost::beast;
 using Common::SteadyTime;
-using Parser = beast::http::request_parser<beast::http::string_body>;
+using Parser = beast::http::request_parser<BoundedBody>;
 
 constexpr Common::Millis SweepInterval{250};
 // How long a finished connection may take to be closed by its caller.
@@ -25,6 +25,8 @@
 // Bytes of later requests that are kept while one is open.
 constexpr std::size_t MaxPipelinedBytes = 64 << 10;
 
+constexpr int FieldsTooLarge = 431;
+
 enum class Phase { Idle, Reading, Answering, Closing };
 
 struct Connection {
@@ -43,7 +45,6 @@
 int statusOfFault(const beast::error_code &Fault) {
   constexpr int BadRequest = 400;
   constexpr int TooLarge = 413;
-  constexpr int FieldsTooLarge = 431;
   if (Fault == beast::http::error::body_limit)
     return TooLarge;
   if (Fault == beast::http::error::header_limit)
@@ -145,6 +146,7 @@
     From.Request->eager(true);
     From.Request->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
     From.Request->body_limit(Limits.BodyBytes);
+    From.Request->get().body().Limit = Limits.BodyBytes;
     From.ContinueSent = false;
     enter(From, Phase::Reading);
   }
@@ -168,6 +170,11 @@
     deliver(Id, From);
     return;
   }
+  // The parser bounds the head, but no line of a chunk or a trailer.
+  if (From.Incoming.size() > Limits.HeaderBytes) {
+    refuse(From, FieldsTooLarge);
+    return;
+  }
   if (!From.Request->is_header_done() || From.ContinueSent)
     return;
   if (toLower(toView(From.Request->get()[beast::http::field::expect])) ==
@@ -185,7 +192,7 @@
   Asked.Target = std::string(toView(Message.target()));
   Asked.Path = Asked.Target.substr(0, Asked.Target.find('?'));
   Asked.Fields = toHeaders(Message);
-  Asked.Body = std::move(Message.body());
+  Asked.Body = std::move(Message.body().Text);
   Asked.Caller = From.Stream->peerAddress();
   From.KeepAlive = Message.keep_alive();
   From.AnswerWithoutBody = Message.method() == beast::http::verb::head;
--- a/Source/UnitTests/Http/EdgeServerTests.cpp
+++ b/Source/UnitTests/Http/EdgeServerTests.cpp
@@ -119,6 +119,17 @@
   BOOST_TEST(taken() == 0U);
 }
 
+BOOST_FIXTURE_TEST_CASE(RefusesALineOfABodyWithoutEnd, Fixture) {
+  for (const char *Line : {"5;", "0\r\nX: "}) {
+    RawSocket Caller(Port);
+    Caller.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                "\r\n" +
+                std::string(Line) + std::string(4000, 'x'));
+    BOOST_TEST(Caller.readUntil("\r\n\r\n").rfind("HTTP/1.1 431", 0) == 0);
+  }
+  BOOST_TEST(taken() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(EndsItsConnectionsWithTheirNextAnswers, Fixture) {
   RawSocket Caller(Port);
   Caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
