--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr long MaxKeptConnections = 1024;
+// A read of a log or a store brings a few MB at most; bytes may come without
+// end.
+constexpr std::size_t MaxAnswerBytes = 24 << 20;
 
 struct EasyDeleter {
   void operator()(CURL *Handle) const { curl_easy_cleanup(Handle); }
@@ -63,7 +66,11 @@
 
 std::size_t takeBody(char *Data, std::size_t Size, std::size_t Count,
                      void *User) {
-  static_cast<Transfer *>(User)->Reply.Body.append(Data, Size * Count);
+  std::string &Body = static_cast<Transfer *>(User)->Reply.Body;
+  // The library ends a transfer of which less than all is taken.
+  if (Body.size() + Size * Count > MaxAnswerBytes)
+    return 0;
+  Body.append(Data, Size * Count);
   return Size * Count;
 }
 
--- a/Source/UnitTests/Http/EndlessAnswerTests.cpp
+++ b/Source/UnitTests/Http/EndlessAnswerTests.cpp
@@ -127,6 +127,8 @@
 struct Fixture {
   Kernel::Task Worker{"t"};
   std::unique_ptr<Http::KeptClient> Client;
+  // For the platform's store.
+  std::unique_ptr<Http::Client> Store;
   std::unique_ptr<Kernel::Timers> Clock;
   std::vector<Http::ClientResult> Results;
   std::size_t MostHeld = 0;
@@ -144,6 +146,7 @@
   ~Fixture() {
     Worker.runAndWait([this] {
       Clock.reset();
+      Store.reset();
       Client.reset();
     });
   }
@@ -231,4 +234,21 @@
   BOOST_TEST((WorstStall <= LongestStall));
 }
 
+BOOST_FIXTURE_TEST_CASE(AStoreWhoseAnswerHasNoEndIsGivenUp, Fixture) {
+  const EndlessServer Server({"body", Begun + "\r\n", Block});
+  Worker.runAndWait([&] {
+    Store = std::make_unique<Http::Client>(Worker);
+    Http::ClientRequest Asked;
+    Asked.Url = "http://" + Server.address() + "/";
+    Asked.Limit = 2 * CallLimit;
+    Store->send(std::move(Asked), [this](Http::ClientResult Result) {
+      Results.push_back(std::move(Result));
+    });
+  });
+  BOOST_REQUIRE(waitFor([this] { return Results.size() == 1; }));
+  BOOST_TEST(!Results[0].Answered);
+  BOOST_TEST(!Results[0].Failure.empty());
+  BOOST_TEST((WorstStall <= LongestStall));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
