Take a silent read of the store for dead in time for its followers

Cause: in each data centre one node reads the store and the others wait at it. The reader was cut off from the store in silence. It learnt that when its read, which waits 3 s, had no answer after 4 s, and until 3.25 s after the last answer it told its followers that it was in touch. So a whole data centre, none of it but the reader cut off, had no way to a change for up to 3 s; the bound is 2 s. Class: time-outs that add up to more than the promise which they serve.

Ruled out: sets refused or put in force late (no line), a loss of the nodes' own links.

Why this works: NewestFollower itself takes a read for dead 350 ms past its wait, which is 600 ms now; the read after a series does not wait at all. A reader that loses touch, or that finds peers ahead of its read, answers all who wait at it at once, and they read the store themselves: 1.1 s after the cut at worst, by the constants.

Tests, failing before (5 checks): AChangeIsInForceInTimeBehindAReaderThatIsCutOff (two services, real time, worst moment), AReaderThatIsCutOffInSilenceKnowsSoonEnough and others. LeavesPeersAloneInCalm now answers its reads each wait: a read of 600 ms that hangs for 20 s is no calm. TakesItsReadForDeadWhenAPeerIsAhead waits 500 ms before, for the same reason.

--- a/Source/Core/Config/NewestFollower.cpp
+++ b/Source/Core/Config/NewestFollower.cpp
@@ -33,24 +33,31 @@
   return Reader && Held > 0 && !Failing && Now >= OwnReadUntil;
 }
 
+bool NewestFollower::isReadDead(Common::SteadyTime Now) const {
+  return ReadingSince && Now - *ReadingSince > ReadWait + Given.ReadSlack;
+}
+
 bool NewestFollower::isInTouch(Common::SteadyTime Now) const {
-  return SourceAnsweredAt && !Failing && !ReaderAskedAt &&
-         Now - *SourceAnsweredAt <= Given.Wait + Given.ReaderSlack;
+  return SourceAnswers && !Failing && !ReaderAskedAt && !isReadDead(Now);
 }
 
 FollowActions NewestFollower::read(Common::SteadyTime Now) {
   RetryAt.reset();
+  const bool WasGathering = std::exchange(Gathering, false);
   // What peers had meanwhile comes with this read.
-  if (std::exchange(Gathering, false))
+  if (WasGathering)
     BehindSince.reset();
   if (hasReader(Now)) {
+    ReadingSince.reset();
     ReaderAskedAt = Now;
     AskedReader = Reader->Node;
     return {AskReader{Reader->Address, Given.ReaderWait}};
   }
+  ReadingSince = Now;
+  ReadWait = WasGathering ? Common::Micros(0) : Given.Wait;
   if (!Position)
     return {ReadNewestSet{}};
-  return {ReadOnFrom{*Position}};
+  return {ReadOnFrom{*Position, ReadWait}};
 }
 
 FollowActions NewestFollower::readForItself(Common::SteadyTime Now) {
@@ -81,11 +88,12 @@
 
 FollowActions NewestFollower::answered(const SourceAnswer &Answer,
                                        Common::SteadyTime Now) {
+  ReadingSince.reset();
   if (Answer.Code == Common::ResultCode::Ok) {
     Failing = false;
     Backoff = Given.LeastBackoff;
     Position = Answer.Next;
-    SourceAnsweredAt = Now;
+    SourceAnswers = true;
     if (Answer.Content.empty() || hasReader(Now))
       return read(Now);
     Gathering = true;
@@ -96,12 +104,16 @@
     Position.reset();
     return read(Now);
   }
+  readFailed(Now);
+  return {};
+}
+
+void NewestFollower::readFailed(Common::SteadyTime Now) {
   Failing = true;
   std::uniform_int_distribution<std::int64_t> Jitter(Backoff.count() / 2,
                                                      Backoff.count());
   RetryAt = Now + Common::Micros(Jitter(Random));
   Backoff = std::min(2 * Backoff, Given.MostBackoff);
-  return {};
 }
 
 bool NewestFollower::offer(Version Number) {
@@ -122,7 +134,11 @@
       Now - *ReaderAskedAt > Given.ReaderWait + Given.ReaderSlack;
   const bool IsReaderOther =
       ReaderAskedAt && (!Reader || Reader->Node != AskedReader);
-  if (IsReaderSilent) {
+  if (isReadDead(Now)) {
+    ReadingSince.reset();
+    readFailed(Now);
+    Actions = {CancelRead{}};
+  } else if (IsReaderSilent) {
     Actions = readForItself(Now);
   } else if (IsReaderOther) {
     ReaderAskedAt.reset();
@@ -174,6 +190,7 @@
     RetryAt = Now + Given.AskLimit;
   // The own read should have brought what a peer has: it may be a dead one.
   if (IsBehind && !isNew() && !Failing && !RetryAt && !ReaderAskedAt) {
+    SourceAnswers = false;
     Actions.push_back(CancelRead{});
     for (FollowAction &Each : read(Now))
       Actions.push_back(std::move(Each));
--- a/Source/Core/Config/NewestFollower.h
+++ b/Source/Core/Config/NewestFollower.h
@@ -15,9 +15,13 @@
 struct FollowOptions {
   std::string Node;
   std::string DataCentre;
-  // How long one read waits at the source. A read that is held up in silence
-  // is noticed only after this.
-  Common::Micros Wait{3'000'000};
+  // How long one read waits at the source, and how long its answer may take
+  // beyond that; about a quarter of a second when the source is slow. A read
+  // that is held up in silence is taken for dead after both. That leaves the
+  // nodes that wait here time for a read of their own within the two seconds in
+  // which a change has to be in force.
+  Common::Micros Wait{600'000};
+  Common::Micros ReadSlack{350'000};
   // How long the reader of the data centre may hold an answer back, and how
   // long it may take beyond that. Both together leave time for a read of one's
   // own within the two seconds in which a change has to be in force.
@@ -28,7 +32,8 @@
   Common::Micros OwnReadTime{2'000'000};
   // After a newer set came, so long passes before the next read, since changes
   // come in series and a read brings all of them. A third of the two seconds
-  // in which a change has to be in force.
+  // in which a change has to be in force. That read does not wait, so that a
+  // source that has gone silent meanwhile is noticed as soon as otherwise.
   Common::Micros Gather{600'000};
   Common::Micros LeastBackoff{100'000};
   Common::Micros MostBackoff{1'000'000};
@@ -55,6 +60,7 @@
 struct ReadNewestSet {};
 struct ReadOnFrom {
   SourcePosition From = 0;
+  Common::Micros Wait{0};
 };
 // The read under way is given up: it is taken for dead.
 struct CancelRead {};
@@ -101,15 +107,17 @@
   bool isCutOff() const { return Failing; }
   // The reader that this node waits at; empty while it reads the source.
   std::string reader() const { return ReaderAskedAt ? AskedReader : ""; }
-  // Whether this node reads the source and had an answer lately, so that
-  // others may wait here.
+  // Whether this node reads the source and the source answers, so that others
+  // may wait here.
   bool isInTouch(Common::SteadyTime Now) const;
 
 private:
   bool hasReader(Common::SteadyTime Now) const;
+  bool isReadDead(Common::SteadyTime Now) const;
   bool isNew() const { return Held == 0; }
   std::vector<const FollowPeer *> peersToAsk(bool IsBehind) const;
   FollowActions read(Common::SteadyTime Now);
+  void readFailed(Common::SteadyTime Now);
   FollowActions readForItself(Common::SteadyTime Now);
   void askPeers(Common::SteadyTime Now, FollowActions &Actions);
 
@@ -123,7 +131,12 @@
   std::optional<Common::SteadyTime> ReaderAskedAt;
   // Until then this node reads for itself.
   Common::SteadyTime OwnReadUntil;
-  std::optional<Common::SteadyTime> SourceAnsweredAt;
+  // When the read of the source that is under way began.
+  std::optional<Common::SteadyTime> ReadingSince;
+  // How long it waits at the source.
+  Common::Micros ReadWait{0};
+  // Whether the source answered since a read was last taken for dead.
+  bool SourceAnswers = false;
   Version Held = 0;
   std::optional<SourcePosition> Position;
   bool Failing = false;
--- a/Source/Core/Node/SourceConfigService.h
+++ b/Source/Core/Node/SourceConfigService.h
@@ -84,16 +84,30 @@
                    Decisions.held());
       KnownReader = Reader;
     }
+    if (Decisions.isCutOff() != KnownCutOff) {
+      KnownCutOff = Decisions.isCutOff();
+      spdlog::warn("dependency=config-source state={} version={} code={} "
+                   "detail=\"{}\"",
+                   KnownCutOff ? "lost" : "regained", Decisions.held(),
+                   Common::resultCodeNumber(LastRead.Code), LastRead.Detail);
+    }
+    // They find the source themselves.
+    if (!Held.Waiting.empty() && !Decisions.isInTouch(now()))
+      for (const auto &[Origin, Each] : std::exchange(Held.Waiting, {}))
+        answerNothingNewer(Origin);
   }
 
   void perform(const Config::ReadNewestSet &) {
     From->readNewest([this](Config::SourceAnswer Answer) { finish(Answer); });
   }
   void perform(const Config::ReadOnFrom &Part) {
-    From->readOn(Part.From, Settings.LogWait,
+    From->readOn(Part.From, Part.Wait,
                  [this](Config::SourceAnswer Answer) { finish(Answer); });
   }
-  void perform(const Config::CancelRead &) { From->cancel(); }
+  void perform(const Config::CancelRead &) {
+    LastRead = {Common::ResultCode::LogUnavailable, "no answer in time"};
+    From->cancel();
+  }
   void perform(const Config::AskPeer &Part) { ask(Part.Address, {}); }
   void perform(const Config::AskReader &Part) { ask(Part.Address, Part.Wait); }
 
@@ -112,15 +126,10 @@
   }
 
   void finish(const Config::SourceAnswer &Answer) {
-    const bool WasCutOff = Decisions.isCutOff();
+    LastRead = {Answer.Code, Answer.Detail};
     if (!Answer.Content.empty())
       install(Answer.Content, "source");
     act(Decisions.answered(Answer, now()));
-    if (Decisions.isCutOff() != WasCutOff)
-      spdlog::warn("dependency=config-source state={} version={} code={} "
-                   "detail=\"{}\"",
-                   WasCutOff ? "regained" : "lost", Decisions.held(),
-                   Common::resultCodeNumber(Answer.Code), Answer.Detail);
   }
 
   void install(std::string Content, const std::string &By) {
@@ -271,8 +280,15 @@
   std::unique_ptr<Source> From;
   Config::NewestFollower Decisions;
   HeldSets Held;
+  // How the last read of the source ended.
+  struct ReadEnd {
+    Common::ResultCode Code = Common::ResultCode::Ok;
+    std::string Detail;
+  };
+  ReadEnd LastRead;
   // As last told in the log.
   std::string KnownReader;
+  bool KnownCutOff = false;
 };
 
 } // namespace Node
--- a/Source/UnitTests/Config/NewestFollowerTests.cpp
+++ b/Source/UnitTests/Config/NewestFollowerTests.cpp
@@ -78,7 +78,7 @@
   startAlone();
   Tested.offer(3);
   answer(ResultCode::Ok, 7);
-  BOOST_TEST(wait(Millis(1000)).empty());
+  BOOST_TEST(wait(Millis(500)).empty());
   Peers[1].Held = 4;
   const auto Actions = wait(Millis(400));
   BOOST_TEST(count<AskPeer>(Actions) == 1);
@@ -95,6 +95,7 @@
   const auto Actions = wait(Millis(300));
   BOOST_REQUIRE_EQUAL(count<ReadOnFrom>(Actions), 1);
   BOOST_TEST(std::get<ReadOnFrom>(Actions[0]).From == 7);
+  BOOST_TEST((std::get<ReadOnFrom>(Actions[0]).Wait == Millis(0)));
 }
 
 BOOST_FIXTURE_TEST_CASE(LeavesPeersAloneInCalm, Fixture) {
@@ -102,7 +103,13 @@
   Tested.offer(3);
   answer(ResultCode::Ok, 7);
   Peers[0].Held = 3;
-  BOOST_TEST(wait(Millis(20'000)).empty());
+  const Millis Wait = std::chrono::duration_cast<Millis>(FollowOptions().Wait);
+  for (Millis Passed{0}; Passed < Millis(20'000); Passed += Wait) {
+    BOOST_TEST(wait(Wait).empty());
+    const auto Next = answer(ResultCode::Ok, 7);
+    BOOST_REQUIRE_EQUAL(Next.size(), 1);
+    BOOST_TEST(count<ReadOnFrom>(Next) == 1);
+  }
 }
 
 namespace {
@@ -212,6 +219,48 @@
   BOOST_TEST(!Tested.isInTouch(Now));
 }
 
+namespace {
+
+// What a reader that is cut off in silence may take to notice: the rest of the
+// two seconds for a change is for the reads of the nodes that wait at it.
+constexpr Millis NoticeLimit{1'200};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(AReaderThatIsCutOffInSilenceKnowsSoonEnough,
+                        InCompany) {
+  Peers.erase(Peers.begin());
+  Tested.usePeers(Peers);
+  answer(ResultCode::Ok, 7);
+  BOOST_TEST(Tested.isInTouch(Now));
+  // The next change comes right after this one, and the cut with it.
+  Tested.offer(4);
+  BOOST_TEST(Tested.answered({ResultCode::Ok, "a set", 8, ""}, Now).empty());
+  const auto Actions = wait(NoticeLimit);
+  BOOST_TEST(count<CancelRead>(Actions) == 1);
+  BOOST_TEST(Tested.isCutOff());
+  BOOST_TEST(!Tested.isInTouch(Now));
+}
+
+BOOST_FIXTURE_TEST_CASE(AReaderWhoseReadIsCutOffKnowsSoonEnough, InCompany) {
+  Peers.erase(Peers.begin());
+  Tested.usePeers(Peers);
+  BOOST_TEST(count<ReadOnFrom>(answer(ResultCode::Ok, 7)) == 1);
+  wait(NoticeLimit);
+  BOOST_TEST(Tested.isCutOff());
+}
+
+BOOST_FIXTURE_TEST_CASE(AReaderThatTakesItsReadForDeadIsNotInTouch, InCompany) {
+  Peers.erase(Peers.begin());
+  Tested.usePeers(Peers);
+  answer(ResultCode::Ok, 7);
+  Peers[0].Held = 9;
+  BOOST_TEST(count<CancelRead>(wait(Millis(400))) == 1);
+  BOOST_TEST(!Tested.isInTouch(Now));
+  answer(ResultCode::Ok, 8);
+  BOOST_TEST(Tested.isInTouch(Now));
+}
+
 // Load pattern: fifty of 82 nodes are killed at once, and each one that comes
 // back needs the whole set: 0.2 MB and more from the source, on links of
 // 7 Mbit/s that carry the calls as well.
--- a/Source/UnitTests/Node/SourceConfigServiceTests.cpp
+++ b/Source/UnitTests/Node/SourceConfigServiceTests.cpp
@@ -1,3 +1,5 @@
+#include <thread>
+
 #include <boost/test/unit_test.hpp>
 
 #include "Common/Rendezvous.h"
@@ -59,7 +61,7 @@
     Node::NodeSettings Settings;
     Settings.Name = Name;
     Settings.DataCentre = "leicester";
-    Settings.LogWait = std::chrono::seconds(3);
+    Settings.LogWait = FollowOptions().Wait;
     auto From = std::make_unique<FakeSource>();
     Source = From.get();
     Tested = std::make_unique<Service>(
@@ -70,12 +72,13 @@
     take(HeldVersion{"peer", 0, false});
   }
 
-  SpreadMessage lastSent() const {
-    const Node::ControlMessage &Last = Sent.back();
-    const auto *Reply = std::get_if<Node::ReplyEnvelope>(&Last);
+  SpreadMessage sent(std::size_t Index) const {
+    const Node::ControlMessage &Each = Sent.at(Index);
+    const auto *Reply = std::get_if<Node::ReplyEnvelope>(&Each);
     return Wire::decodeSpread(
-        Reply ? Reply->Content : std::get<Node::SendEnvelope>(Last).Content);
+        Reply ? Reply->Content : std::get<Node::SendEnvelope>(Each).Content);
   }
+  SpreadMessage lastSent() const { return sent(Sent.size() - 1); }
   void take(const SpreadMessage &Content) {
     Tested->handle(Node::EnvelopeArrived{1, Wire::encodeSpread(Content)});
   }
@@ -146,6 +149,98 @@
   BOOST_TEST(!std::get<HeldVersion>(Cut.lastSent()).ReadsLog);
 }
 
+namespace {
+
+// A reader and a node that waits at it, on a running task.
+struct Pair {
+  static constexpr const char *DataCentre = "leicester";
+
+  Kernel::Task Worker{"t"};
+  Kernel::Registry Names;
+  std::unique_ptr<TestNode> Reader;
+  std::unique_ptr<TestNode> Follower;
+  std::unique_ptr<Kernel::Timers> Clock;
+  std::size_t FromReader = 0;
+  std::size_t FromFollower = 0;
+  // What the store holds; the reader is cut off from it.
+  Version Newest = 0;
+
+  Pair() {
+    const auto Ranked = Common::rankByRendezvous(
+        std::string("reader/") + DataCentre, {"a", "b"});
+    Worker.spawn();
+    Worker.runAndWait([&] {
+      Reader = std::make_unique<TestNode>(Worker, Names, Ranked[0]);
+      Follower = std::make_unique<TestNode>(Worker, Names, Ranked[1]);
+      meet(*Reader, Ranked[1]);
+      meet(*Follower, Ranked[0]);
+      Clock = std::make_unique<Kernel::Timers>(Worker);
+      carry();
+    });
+  }
+  ~Pair() {
+    Worker.runAndWait([this] {
+      Clock.reset();
+      Follower.reset();
+      Reader.reset();
+    });
+  }
+
+  static void meet(TestNode &Node, const std::string &Other) {
+    Membership::Member Known;
+    Known.Node = Other;
+    Known.DataCentre = DataCentre;
+    Known.Address = "10.0.0.1";
+    Node.Tested->handle(Node::MembersChanged{
+        std::make_shared<const std::vector<Membership::Member>>(1, Known)});
+  }
+  // Takes what they send to one another, and answers the follower's reads.
+  void carry() {
+    deliver(*Reader, FromReader, *Follower);
+    deliver(*Follower, FromFollower, *Reader);
+    if (Follower->Source->Open && Newest > 0)
+      Follower->Source->answer(Newest);
+    Clock->after(Common::Millis(5), [this] { carry(); });
+  }
+  static void deliver(const TestNode &From, std::size_t &Next, TestNode &To) {
+    while (Next < From.Sent.size())
+      To.take(From.sent(Next++));
+  }
+  bool waitFor(const std::function<bool()> &Happened, Common::Millis Limit) {
+    const auto End = std::chrono::steady_clock::now() + Limit;
+    bool Seen = false;
+    while (!Seen && std::chrono::steady_clock::now() < End) {
+      Worker.runAndWait([&] { Seen = Happened(); });
+      std::this_thread::sleep_for(Common::Millis(5));
+    }
+    return Seen;
+  }
+};
+
+} // namespace
+
+// A whole data centre waited at a reader whose read was dead.
+BOOST_FIXTURE_TEST_CASE(AChangeIsInForceInTimeBehindAReaderThatIsCutOff, Pair) {
+  constexpr Common::Millis ApplyLimit{2'000};
+  // The follower waits at the reader, which then gets a change and is cut off
+  // when the next one is acknowledged.
+  Worker.runAndWait([this] { Reader->Source->answer(4); });
+  Newest = 4;
+  const auto Holds = [this](Version Number) {
+    return !Follower->InForce.empty() &&
+           Follower->InForce.back().Newest.Number == Number;
+  };
+  BOOST_REQUIRE(
+      waitFor([&] { return Holds(4) && !Follower->Source->Open; }, ApplyLimit));
+  BOOST_REQUIRE(
+      waitFor([&] { return bool(Reader->Source->Open); }, ApplyLimit));
+  Worker.runAndWait([this] {
+    Reader->Source->answer(5);
+    Newest = 6;
+  });
+  BOOST_TEST(waitFor([&] { return Holds(6); }, ApplyLimit));
+}
+
 BOOST_FIXTURE_TEST_CASE(APatchOfAnotherBaseChangesNothing, Fixture) {
   Reader.Source->answer(4);
   SetSnapshot Wrong{"peer", 6, CurrentRuleLevel, 4, {"", {}}, 0};
