--- a/Source/Core/Admission/ServiceTimes.cpp
+++ b/Source/Core/Admission/ServiceTimes.cpp
@@ -20,11 +20,12 @@
 
 void ServiceTimes::learn(const std::string &Kind, bool Long,
                          Common::Micros Took) {
-  if (Kinds.size() < MaxKinds || Kinds.contains(Kind)) {
-    Record &Known = Kinds[Kind];
-    Known.Count = std::min(Known.Count + 1, SmoothingCount);
-    Known.Smoothed += (Took - Known.Smoothed) / Known.Count;
-  }
+  if (Kinds.size() >= MaxKinds && !Kinds.contains(Kind))
+    forgetOldest();
+  Record &Known = Kinds[Kind];
+  Known.Count = std::min(Known.Count + 1, SmoothingCount);
+  Known.Smoothed += (Took - Known.Smoothed) / Known.Count;
+  Known.LastCall = ++CallsLearnt;
   if (Long)
     return;
   RecentShort.push_back(Took);
@@ -38,6 +39,15 @@
     Typical = *Middle;
 }
 
+// Routes come and go, and their kinds with them: the one that was seen longest
+// ago makes room.
+void ServiceTimes::forgetOldest() {
+  Kinds.erase(std::min_element(
+      Kinds.begin(), Kinds.end(), [](const auto &Left, const auto &Right) {
+        return Left.second.LastCall < Right.second.LastCall;
+      }));
+}
+
 std::optional<Common::Micros>
 ServiceTimes::usual(const std::string &Kind) const {
   const auto Found = Kinds.find(Kind);
--- a/Source/Core/Admission/ServiceTimes.h
+++ b/Source/Core/Admission/ServiceTimes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <string>
@@ -28,9 +29,14 @@
   struct Record {
     Common::Micros Smoothed{0};
     int Count = 0;
+    // Of the calls learnt from, the one that was the last of this kind.
+    std::uint64_t LastCall = 0;
   };
 
+  void forgetOldest();
+
   std::unordered_map<std::string, Record> Kinds;
+  std::uint64_t CallsLearnt = 0;
   std::deque<Common::Micros> RecentShort;
   std::optional<Common::Micros> Typical;
 };
