Read a store that is slower than usual all the same

A read is taken for dead 350 ms past its wait. Each dead read doubles the slack, up to 2 s, until an answer comes in the usual time. ASourceThatIsSlowIsReadAllTheSame fails with the slack held at 350 ms.

--- a/Source/Core/Config/NewestFollower.cpp
+++ b/Source/Core/Config/NewestFollower.cpp
@@ -34,7 +34,7 @@
 }
 
 bool NewestFollower::isReadDead(Common::SteadyTime Now) const {
-  return ReadingSince && Now - *ReadingSince > ReadWait + Given.ReadSlack;
+  return ReadingSince && Now - *ReadingSince > ReadWait + ReadSlack;
 }
 
 bool NewestFollower::isInTouch(Common::SteadyTime Now) const {
@@ -88,8 +88,12 @@
 
 FollowActions NewestFollower::answered(const SourceAnswer &Answer,
                                        Common::SteadyTime Now) {
+  const bool WasUsual =
+      ReadingSince && Now - *ReadingSince <= ReadWait + Given.ReadSlack;
   ReadingSince.reset();
   if (Answer.Code == Common::ResultCode::Ok) {
+    if (WasUsual)
+      ReadSlack = Given.ReadSlack;
     Failing = false;
     Backoff = Given.LeastBackoff;
     Position = Answer.Next;
@@ -136,6 +140,7 @@
       ReaderAskedAt && (!Reader || Reader->Node != AskedReader);
   if (isReadDead(Now)) {
     ReadingSince.reset();
+    ReadSlack = std::min(2 * ReadSlack, Given.MostReadSlack);
     readFailed(Now);
     Actions = {CancelRead{}};
   } else if (IsReaderSilent) {
--- a/Source/Core/Config/NewestFollower.h
+++ b/Source/Core/Config/NewestFollower.h
@@ -22,6 +22,9 @@
   // which a change has to be in force.
   Common::Micros Wait{600'000};
   Common::Micros ReadSlack{350'000};
+  // Each read that was taken for dead doubles the slack up to this, so that a
+  // source which is slower than usual is read all the same.
+  Common::Micros MostReadSlack{2'000'000};
   // How long the reader of the data centre may hold an answer back, and how
   // long it may take beyond that. Both together leave time for a read of one's
   // own within the two seconds in which a change has to be in force.
@@ -86,7 +89,8 @@
 class NewestFollower {
 public:
   NewestFollower(FollowOptions Options, std::uint64_t Seed)
-      : Given(std::move(Options)), Random(Seed), Backoff(Given.LeastBackoff) {}
+      : Given(std::move(Options)), Random(Seed), Backoff(Given.LeastBackoff),
+        ReadSlack(Given.ReadSlack) {}
 
   FollowActions start(Common::SteadyTime Now);
   // The nodes alive besides this one have changed.
@@ -143,6 +147,7 @@
   // A newer set came; the next read is put off, as more may come.
   bool Gathering = false;
   Common::Micros Backoff;
+  Common::Micros ReadSlack;
   std::optional<Common::SteadyTime> RetryAt;
   std::optional<Common::SteadyTime> BehindSince;
   std::optional<Common::SteadyTime> AskedAt;
--- a/Source/UnitTests/Config/NewestFollowerTests.cpp
+++ b/Source/UnitTests/Config/NewestFollowerTests.cpp
@@ -250,6 +250,28 @@
   BOOST_TEST(Tested.isCutOff());
 }
 
+BOOST_FIXTURE_TEST_CASE(ASourceThatIsSlowIsReadAllTheSame, InCompany) {
+  constexpr Millis Late{900};
+  const Millis Wait = std::chrono::duration_cast<Millis>(FollowOptions().Wait);
+  Peers.erase(Peers.begin());
+  Tested.usePeers(Peers);
+  answer(ResultCode::Ok, 7);
+  // Each answer comes late, unless its read was taken for dead before.
+  int Dead = 0;
+  int Answered = 0;
+  for (Millis Passed{0}; Passed < Millis(20'000); Passed += Wait + Late) {
+    if (count<CancelRead>(wait(Wait + Late)) > 0) {
+      ++Dead;
+      continue;
+    }
+    answer(ResultCode::Ok, 7);
+    ++Answered;
+  }
+  BOOST_TEST(Dead <= 3);
+  BOOST_TEST(Answered >= 5);
+  BOOST_TEST(Tested.isInTouch(Now));
+}
+
 BOOST_FIXTURE_TEST_CASE(AReaderThatTakesItsReadForDeadIsNotInTouch, InCompany) {
   Peers.erase(Peers.begin());
   Tested.usePeers(Peers);
