Keep a leaving that comes before any heartbeat

Cause: the node had just started anew and knew no server. The deregistration was acknowledged and forgotten (event=server-left known=false); a heartbeat that was held up came 2.5 s later and was taken for a server that lives. Before, the gate kept leavings of the server it knew alone, and ended a later life by a late leaving of an earlier one.

Now the gate keeps the last leaving of a server that it does not know, and compares lives.

--- a/Source/Core/Membership/AnnouncementGate.cpp
+++ b/Source/Core/Membership/AnnouncementGate.cpp
@@ -6,7 +6,9 @@
   const bool IsSameLife = Heard.Server.Server == Server && Heard.Born == Born;
   const bool IsStale = IsSameLife ? Left || Heard.Sequence <= Sequence
                                   : !Server.empty() && Heard.Born <= Born;
-  if (IsStale)
+  const bool HasLeft = Stranger && Stranger->Server == Heard.Server.Server &&
+                       Heard.Born <= Stranger->Born.value_or(Stranger->HeardAt);
+  if (IsStale || HasLeft)
     return Common::ResultCode::HeartbeatStale;
   Server = Heard.Server.Server;
   Born = Heard.Born;
@@ -15,8 +17,13 @@
   return Common::ResultCode::Ok;
 }
 
-bool AnnouncementGate::leave(const std::string &Leaver) {
-  if (Leaver != Server)
+bool AnnouncementGate::leave(const Departure &Heard) {
+  if (Heard.Server != Server) {
+    Stranger = Heard;
+    return false;
+  }
+  // Of an earlier life, and late.
+  if (Heard.Born && *Heard.Born < Born)
     return false;
   Left = true;
   return true;
--- a/Source/Core/Membership/AnnouncementGate.h
+++ b/Source/Core/Membership/AnnouncementGate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "Common/ResultCode.h"
@@ -21,20 +22,31 @@
   std::int64_t Sequence = 0;
 };
 
+// A backend server says that it leaves.
+struct Departure {
+  std::string Server;
+  // When the life that ends began; none when the server did not say.
+  std::optional<Common::WallTime> Born;
+  Common::WallTime HeardAt;
+};
+
 // Judges announcements that may come late, out of order or from an earlier
-// life. Leaving is final for one life, whatever arrives after it.
+// life. Leaving is final for one life, whatever arrives after it, also where
+// the node had not heard of that life before.
 class AnnouncementGate {
 public:
   // Ok when it is the newest word on the server beside this node.
   Common::ResultCode take(const Announcement &Heard);
-  // The server named says that it leaves.
-  bool leave(const std::string &Server);
+  // Whether the server beside this node leaves by that.
+  bool leave(const Departure &Heard);
 
 private:
   std::string Server;
   Common::WallTime Born;
   std::int64_t Sequence = -1;
   bool Left = false;
+  // The last one of a server that was not known.
+  std::optional<Departure> Stranger;
 };
 
 } // namespace Membership
--- a/Source/UnitTests/Membership/JoiningTests.cpp
+++ b/Source/UnitTests/Membership/JoiningTests.cpp
@@ -21,6 +21,14 @@
   return Result;
 }
 
+Departure departure(const std::string &Server, std::optional<Millis> Born,
+                    Millis HeardAt = Millis(20)) {
+  Departure Result{Server, std::nullopt, Common::WallTime(HeardAt)};
+  if (Born)
+    Result.Born = Common::WallTime(*Born);
+  return Result;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(TakesAnnouncementsInTheirOrderAlone) {
@@ -39,10 +47,31 @@
               ResultCode::HeartbeatStale));
   // The same name begins a new life with new counts.
   BOOST_TEST((Gate.take(announcement("a", Millis(9), 0)) == ResultCode::Ok));
-  BOOST_TEST(Gate.leave("a"));
+  BOOST_TEST(Gate.leave(departure("a", Millis(9))));
   BOOST_TEST((Gate.take(announcement("a", Millis(9), 1)) ==
               ResultCode::HeartbeatStale));
-  BOOST_TEST(!Gate.leave("b"));
+  BOOST_TEST(!Gate.leave(departure("b", Millis(9))));
+}
+
+// A node that starts anew may hear of a leaving first, and then a heartbeat
+// that was held up.
+BOOST_AUTO_TEST_CASE(KeepsToALeavingOfAServerThatItDidNotKnow) {
+  for (const auto &Born : {std::optional(Millis(5)), std::optional<Millis>()}) {
+    AnnouncementGate Gate;
+    BOOST_TEST(!Gate.leave(departure("a", Born)));
+    BOOST_TEST((Gate.take(announcement("a", Millis(5), 7)) ==
+                ResultCode::HeartbeatStale));
+    BOOST_TEST((Gate.take(announcement("a", Millis(30), 0)) == ResultCode::Ok));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingOfAnEarlierLifeEndsNoLaterOne) {
+  AnnouncementGate Gate;
+  Gate.take(announcement("a", Millis(9), 1));
+  BOOST_TEST(!Gate.leave(departure("a", Millis(5))));
+  BOOST_TEST((Gate.take(announcement("a", Millis(9), 2)) == ResultCode::Ok));
+  BOOST_TEST(!Gate.leave(departure("old", Millis(5))));
+  BOOST_TEST((Gate.take(announcement("a", Millis(9), 3)) == ResultCode::Ok));
 }
 
 BOOST_AUTO_TEST_CASE(IgnoresAnEarlierServerAtTheSamePlace) {
