Let one node take over in place of a reader that is out of touch

Now a node whose reader fails it waits at the one ranked second. That one reads the store from the first time that it is asked in the reader's place, keeps those who wait for 0.4 s until it knows whether the store answers it, and gives the role back 2 s after it was last asked. Only without that one does a node read for itself. A read is dead when nothing came of its answer for the slack, and when two ticks find it so, not one.

Tests: AsksTheSecondInRankBeforeItReadsForItself, TakesOverWhenItIsAskedInPlaceOfItsReader, AReadWhoseAnswerComesInPartsIsAlive; those of the cut reader hold on.

--- a/Source/Core/Config/ConfigSource.h
+++ b/Source/Core/Config/ConfigSource.h
@@ -38,6 +38,8 @@
   Source.readNewest(OnDone);
   // Answers when there is something after From, at the latest after Wait.
   Source.readOn(From, Wait, OnDone);
+  // Called whenever a part of an answer came.
+  Source.onProgress(std::function<void()>());
   // Gives up the read that is under way; its answer does not come.
   Source.cancel();
   // Throws an Error for content that is no sound set.
--- a/Source/Core/Config/NewestFollower.cpp
+++ b/Source/Core/Config/NewestFollower.cpp
@@ -7,6 +7,13 @@
 
 namespace Config {
 
+namespace {
+
+// The reader of a data centre, and the one that takes over.
+constexpr std::size_t MaxReaders = 2;
+
+} // namespace
+
 FollowActions NewestFollower::start(Common::SteadyTime Now) {
   NextAsk = Now;
   RetryAt = Now + Given.MeetTime;
@@ -19,26 +26,39 @@
   for (const FollowPeer &Each : Peers)
     if (Each.DataCentre == Given.DataCentre)
       Names.push_back(Each.Node);
-  const std::string First =
-      Common::rankByRendezvous("reader/" + Given.DataCentre, std::move(Names))
-          .front();
-  const auto Found =
-      std::find_if(Peers.begin(), Peers.end(),
-                   [&](const FollowPeer &Each) { return Each.Node == First; });
-  Reader = Found == Peers.end() ? std::nullopt : std::optional(*Found);
+  Readers.clear();
+  for (const std::string &Name : Common::rankByRendezvous(
+           "reader/" + Given.DataCentre, std::move(Names))) {
+    if (Name == Given.Node || Readers.size() >= MaxReaders)
+      break;
+    Readers.push_back(
+        *std::find_if(Peers.begin(), Peers.end(), [&](const FollowPeer &Each) {
+          return Each.Node == Name;
+        }));
+  }
 }
 
 // The first set of all comes from the source: the members are hardly known yet.
-bool NewestFollower::hasReader(Common::SteadyTime Now) const {
-  return Reader && Held > 0 && !Failing && Now >= OwnReadUntil;
+const FollowPeer *NewestFollower::reader(Common::SteadyTime Now) const {
+  if (Held == 0 || Failing || Now < OwnReadUntil)
+    return nullptr;
+  const auto Found =
+      std::find_if(Readers.begin(), Readers.end(), [&](const FollowPeer &Each) {
+        const auto Until = Distrusted.find(Each.Node);
+        return Until == Distrusted.end() || Now >= Until->second;
+      });
+  return Found == Readers.end() ? nullptr : &*Found;
 }
 
-bool NewestFollower::isReadDead(Common::SteadyTime Now) const {
+bool NewestFollower::isReadOverdue(Common::SteadyTime Now) const {
   return ReadingSince && Now - *ReadingSince > ReadWait + ReadSlack;
 }
 
 bool NewestFollower::isInTouch(Common::SteadyTime Now) const {
-  return SourceAnswers && !Failing && !ReaderAskedAt && !isReadDead(Now);
+  // A node that was frozen has not found its read dead yet when it is asked.
+  const bool IsLongOverdue =
+      ReadingSince && Now - *ReadingSince > ReadWait + 2 * ReadSlack;
+  return SourceAnswers && !Failing && !ReaderAskedAt && !IsLongOverdue;
 }
 
 FollowActions NewestFollower::read(Common::SteadyTime Now) {
@@ -47,22 +67,46 @@
   // What peers had meanwhile comes with this read.
   if (WasGathering)
     BehindSince.reset();
-  if (hasReader(Now)) {
+  if (const FollowPeer *Reader = reader(Now)) {
     ReadingSince.reset();
+    SourceAnswers = false;
     ReaderAskedAt = Now;
     AskedReader = Reader->Node;
     return {AskReader{Reader->Address, Given.ReaderWait}};
   }
   ReadingSince = Now;
-  ReadWait = WasGathering ? Common::Micros(0) : Given.Wait;
+  WasOverdue = false;
+  ReadWait = Given.Wait;
   if (!Position)
     return {ReadNewestSet{}};
+  // Shows soon whether the source answers.
+  if (WasGathering || !SourceAnswers)
+    ReadWait = Common::Micros(0);
   return {ReadOnFrom{*Position, ReadWait}};
 }
 
-FollowActions NewestFollower::readForItself(Common::SteadyTime Now) {
+void NewestFollower::readProgressed(Common::SteadyTime Now) {
+  if (!ReadingSince)
+    return;
+  ReadingSince = Now;
+  ReadWait = Common::Micros(0);
+  WasOverdue = false;
+}
+
+FollowActions NewestFollower::readWithoutReader(Common::SteadyTime Now) {
   ReaderAskedAt.reset();
+  std::erase_if(Distrusted,
+                [&](const auto &Each) { return Now >= Each.second; });
+  Distrusted[AskedReader] = Now + Given.OwnReadTime;
+  return read(Now);
+}
+
+FollowActions NewestFollower::asked(Common::SteadyTime Now) {
   OwnReadUntil = Now + Given.OwnReadTime;
+  if (!ReaderAskedAt)
+    return {};
+  ReaderAskedAt.reset();
+  TakingOver = true;
   return read(Now);
 }
 
@@ -76,14 +120,18 @@
   if (!ReaderAskedAt || Node != AskedReader)
     return {};
   ReaderAskedAt.reset();
-  return ReadsSource ? read(Now) : readForItself(Now);
+  return ReadsSource ? read(Now) : readWithoutReader(Now);
 }
 
 FollowActions NewestFollower::peerLost(const std::string &Address,
                                        Common::SteadyTime Now) {
   AskedAt.reset();
-  const bool IsReader = ReaderAskedAt && Reader && Reader->Address == Address;
-  return IsReader ? readForItself(Now) : FollowActions();
+  const bool IsReader =
+      ReaderAskedAt &&
+      std::any_of(Readers.begin(), Readers.end(), [&](const FollowPeer &Each) {
+        return Each.Node == AskedReader && Each.Address == Address;
+      });
+  return IsReader ? readWithoutReader(Now) : FollowActions();
 }
 
 FollowActions NewestFollower::answered(const SourceAnswer &Answer,
@@ -91,6 +139,7 @@
   const bool WasUsual =
       ReadingSince && Now - *ReadingSince <= ReadWait + Given.ReadSlack;
   ReadingSince.reset();
+  TakingOver = false;
   if (Answer.Code == Common::ResultCode::Ok) {
     if (WasUsual)
       ReadSlack = Given.ReadSlack;
@@ -98,7 +147,7 @@
     Backoff = Given.LeastBackoff;
     Position = Answer.Next;
     SourceAnswers = true;
-    if (Answer.Content.empty() || hasReader(Now))
+    if (Answer.Content.empty() || reader(Now))
       return read(Now);
     Gathering = true;
     RetryAt = Now + Given.Gather;
@@ -136,15 +185,19 @@
   const bool IsReaderSilent =
       ReaderAskedAt &&
       Now - *ReaderAskedAt > Given.ReaderWait + Given.ReaderSlack;
+  const FollowPeer *Reader = reader(Now);
   const bool IsReaderOther =
       ReaderAskedAt && (!Reader || Reader->Node != AskedReader);
-  if (isReadDead(Now)) {
+  const bool IsOverdue = isReadOverdue(Now);
+  if (IsOverdue && std::exchange(WasOverdue, IsOverdue)) {
+    WasOverdue = false;
     ReadingSince.reset();
+    TakingOver = false;
     ReadSlack = std::min(2 * ReadSlack, Given.MostReadSlack);
     readFailed(Now);
     Actions = {CancelRead{}};
   } else if (IsReaderSilent) {
-    Actions = readForItself(Now);
+    Actions = readWithoutReader(Now);
   } else if (IsReaderOther) {
     ReaderAskedAt.reset();
     Actions = read(Now);
--- a/Source/Core/Config/NewestFollower.h
+++ b/Source/Core/Config/NewestFollower.h
@@ -30,8 +30,9 @@
   // own within the two seconds in which a change has to be in force.
   Common::Micros ReaderWait{1'000'000};
   Common::Micros ReaderSlack{250'000};
-  // After a reader failed it, a node reads for itself for so long: about what
-  // it takes to find a dead node and agree on the next reader.
+  // A reader that failed a node is not asked again for so long: about what it
+  // takes to find a dead node and agree on the next reader. A node that was
+  // asked in its place reads the source for so long.
   Common::Micros OwnReadTime{2'000'000};
   // After a newer set came, so long passes before the next read, since changes
   // come in series and a read brings all of them. A third of the two seconds
@@ -83,9 +84,11 @@
 // for good. One node of each data centre, by rendezvous hashing, reads the
 // source; the others wait at that one, so that a change costs the source a
 // read for each data centre, and the small links a patch in place of the set.
-// A node whose reader is silent, gone or without answers itself reads on its
-// own. It asks its peers when they are ahead, or when the source does not
-// answer. The version in force never moves back, whoever the set comes from.
+// Where the reader is silent, gone or without answers itself, they wait at the
+// node ranked second, which takes over when it is asked, and only without that
+// one read on their own. A node asks its peers when they are ahead, or when the
+// source does not answer. The version in force never moves back, whoever the
+// set comes from.
 class NewestFollower {
 public:
   NewestFollower(FollowOptions Options, std::uint64_t Seed)
@@ -97,6 +100,8 @@
   void usePeers(std::vector<FollowPeer> Alive);
   // A read ended; the set in it, if any, was given to offer before.
   FollowActions answered(const SourceAnswer &Answer, Common::SteadyTime Now);
+  // A part of an answer came: the read is alive, however large its answer is.
+  void readProgressed(Common::SteadyTime Now);
   FollowActions tick(Common::SteadyTime Now);
   // Whether a set of this version has to be put in force; it then is held.
   bool offer(Version Number);
@@ -106,6 +111,8 @@
                              Common::SteadyTime Now);
   // The connection to a peer is gone.
   FollowActions peerLost(const std::string &Address, Common::SteadyTime Now);
+  // Another node wants to wait here for something newer.
+  FollowActions asked(Common::SteadyTime Now);
 
   Version held() const { return Held; }
   bool isCutOff() const { return Failing; }
@@ -114,22 +121,27 @@
   // Whether this node reads the source and the source answers, so that others
   // may wait here.
   bool isInTouch(Common::SteadyTime Now) const;
+  // Whether this node was asked in place of its reader, and the source has not
+  // answered yet.
+  bool isTakingOver() const { return TakingOver; }
 
 private:
-  bool hasReader(Common::SteadyTime Now) const;
-  bool isReadDead(Common::SteadyTime Now) const;
+  const FollowPeer *reader(Common::SteadyTime Now) const;
+  FollowActions readWithoutReader(Common::SteadyTime Now);
+  bool isReadOverdue(Common::SteadyTime Now) const;
   bool isNew() const { return Held == 0; }
   std::vector<const FollowPeer *> peersToAsk(bool IsBehind) const;
   FollowActions read(Common::SteadyTime Now);
   void readFailed(Common::SteadyTime Now);
-  FollowActions readForItself(Common::SteadyTime Now);
   void askPeers(Common::SteadyTime Now, FollowActions &Actions);
 
   FollowOptions Given;
   std::mt19937_64 Random;
   std::vector<FollowPeer> Peers;
-  // The reader of the data centre, unless it is this node.
-  std::optional<FollowPeer> Reader;
+  // Those ranked before this node that it may wait at.
+  std::vector<FollowPeer> Readers;
+  // Readers that failed this node, and until when they are not asked.
+  std::map<std::string, Common::SteadyTime> Distrusted;
   // The reader that was asked, and when.
   std::string AskedReader;
   std::optional<Common::SteadyTime> ReaderAskedAt;
@@ -139,8 +151,12 @@
   std::optional<Common::SteadyTime> ReadingSince;
   // How long it waits at the source.
   Common::Micros ReadWait{0};
+  // The last tick found it overdue. What came meanwhile is taken first, as
+  // this node may have been held up itself.
+  bool WasOverdue = false;
   // Whether the source answered since a read was last taken for dead.
   bool SourceAnswers = false;
+  bool TakingOver = false;
   Version Held = 0;
   std::optional<SourcePosition> Position;
   bool Failing = false;
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -66,11 +66,13 @@
 
 std::size_t takeBody(char *Data, std::size_t Size, std::size_t Count,
                      void *User) {
-  std::string &Body = static_cast<Transfer *>(User)->Reply.Body;
+  auto *const Running = static_cast<Transfer *>(User);
+  std::string &Body = Running->Reply.Body;
   // The library ends a transfer of which less than all is taken.
   if (Body.size() + Size * Count > MaxAnswerBytes)
     return 0;
   Body.append(Data, Size * Count);
+  Running->Asked.OnProgress();
   return Size * Count;
 }
 
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -24,6 +24,8 @@
   // The library sends a request again by itself when a kept connection turns
   // out to be dead. A request that must not run twice needs a new connection.
   bool NeverResend = false;
+  // Called whenever a part of the body came.
+  std::function<void()> OnProgress = [] {};
 };
 
 struct ClientResult {
--- a/Source/Core/Node/SourceConfigService.h
+++ b/Source/Core/Node/SourceConfigService.h
@@ -40,6 +40,7 @@
         From(std::move(From)), Decisions(optionsOf(Settings), Seed) {}
 
   void start() {
+    From->onProgress([this] { Decisions.readProgressed(now()); });
     act(Decisions.start(now()));
     tick();
   }
@@ -92,7 +93,8 @@
                    Common::resultCodeNumber(LastRead.Code), LastRead.Detail);
     }
     // They find the source themselves.
-    if (!Held.Waiting.empty() && !Decisions.isInTouch(now()))
+    if (!Held.Waiting.empty() && !Decisions.isInTouch(now()) &&
+        !Decisions.isTakingOver())
       for (const auto &[Origin, Each] : std::exchange(Held.Waiting, {}))
         answerNothingNewer(Origin);
   }
@@ -206,10 +208,15 @@
   }
 
   void answer(OriginId Origin, const Config::SetRequest &Asked) {
+    if (Asked.Wait.count() > 0)
+      act(Decisions.asked(now()));
     if (Asked.Held < Decisions.held())
       answerSet(Origin, Asked.Held);
     else if (Asked.Wait.count() > 0 && Decisions.isInTouch(now()))
       Held.Waiting[Origin] = {Asked.Held, now() + Asked.Wait};
+    else if (Asked.Wait.count() > 0 && Decisions.isTakingOver())
+      Held.Waiting[Origin] = {Asked.Held,
+                              now() + std::min(Asked.Wait, TakeOverLimit)};
     else
       answerNothingNewer(Origin);
   }
@@ -268,6 +275,9 @@
     std::map<OriginId, Waiter> Waiting;
   };
 
+  // How long those who wait here are kept while it is not known yet whether the
+  // source answers this node. Leaves them time for a read of their own.
+  static constexpr Common::Micros TakeOverLimit{400'000};
   // The newest set, and bases for those that missed one or two.
   static constexpr std::size_t MaxContents = 3;
   // Far more than any set; bounds what a damaged patch can ask for.
--- a/Source/UnitTests/Config/NewestFollowerTests.cpp
+++ b/Source/UnitTests/Config/NewestFollowerTests.cpp
@@ -219,6 +219,58 @@
   BOOST_TEST(!Tested.isInTouch(Now));
 }
 
+// Load pattern: the reader of 15 nodes is cut off from the source while changes
+// come each second. Read by each of them, the whole sets left no processor time
+// for calls on links of 7 Mbit/s.
+BOOST_FIXTURE_TEST_CASE(AsksTheSecondInRankBeforeItReadsForItself, Fixture) {
+  FollowOptions Options;
+  Options.Node = "n";
+  Options.DataCentre = "x";
+  // By trial, two names that go before the node's own.
+  std::vector<std::string> Ranked;
+  for (int Number = 0; Ranked.size() < 3 || Ranked[2] != "n"; ++Number)
+    Ranked =
+        Common::rankByRendezvous("reader/x", {"n", "a" + std::to_string(Number),
+                                              "b" + std::to_string(Number)});
+  Tested = NewestFollower(Options, 1);
+  startAlone();
+  Tested.usePeers(
+      {{Ranked[0], "x", "first:1", 3}, {Ranked[1], "x", "second:1", 3}});
+  Tested.offer(3);
+  const auto AtFirst = answer(ResultCode::Ok, 7);
+  BOOST_REQUIRE_EQUAL(count<AskReader>(AtFirst), 1);
+  BOOST_TEST(std::get<AskReader>(AtFirst[0]).Address == "first:1");
+  const auto AtSecond = Tested.peerAnswered(Ranked[0], false, Now);
+  BOOST_REQUIRE_EQUAL(count<AskReader>(AtSecond), 1);
+  BOOST_TEST(std::get<AskReader>(AtSecond[0]).Address == "second:1");
+  BOOST_TEST(count<ReadOnFrom>(Tested.peerAnswered(Ranked[1], false, Now)) ==
+             1);
+  // The first is asked again after a while.
+  Now += Options.OwnReadTime;
+  const auto Again = answer(ResultCode::Ok, 8);
+  BOOST_REQUIRE_EQUAL(count<AskReader>(Again), 1);
+  BOOST_TEST(std::get<AskReader>(Again[0]).Address == "first:1");
+}
+
+BOOST_FIXTURE_TEST_CASE(TakesOverWhenItIsAskedInPlaceOfItsReader, InCompany) {
+  useReader();
+  const auto Actions = Tested.asked(Now);
+  BOOST_REQUIRE_EQUAL(Actions.size(), 1);
+  BOOST_TEST((std::get<ReadOnFrom>(Actions[0]).Wait == Millis(0)));
+  BOOST_TEST(Tested.isTakingOver());
+  BOOST_TEST(!Tested.isInTouch(Now));
+  BOOST_TEST(count<ReadOnFrom>(answer(ResultCode::Ok, 8)) == 1);
+  BOOST_TEST(!Tested.isTakingOver());
+  BOOST_TEST(Tested.isInTouch(Now));
+  // As long as it is asked.
+  Now += Millis(1500);
+  BOOST_TEST(Tested.asked(Now).empty());
+  Now += Millis(1500);
+  BOOST_TEST(count<ReadOnFrom>(answer(ResultCode::Ok, 8)) == 1);
+  Now += Millis(1000);
+  BOOST_TEST(count<AskReader>(answer(ResultCode::Ok, 8)) == 1);
+}
+
 namespace {
 
 // What a reader that is cut off in silence may take to notice: the rest of the
@@ -250,6 +302,19 @@
   BOOST_TEST(Tested.isCutOff());
 }
 
+// Load pattern: sets of 0.2 MB in series, on links of 7 Mbit/s.
+BOOST_FIXTURE_TEST_CASE(AReadWhoseAnswerComesInPartsIsAlive, InCompany) {
+  Peers.erase(Peers.begin());
+  Tested.usePeers(Peers);
+  answer(ResultCode::Ok, 7);
+  for (int Part = 0; Part < 20; ++Part) {
+    BOOST_TEST(wait(Millis(200)).empty());
+    Tested.readProgressed(Now);
+  }
+  BOOST_TEST(Tested.isInTouch(Now));
+  BOOST_TEST(count<CancelRead>(wait(Millis(700))) == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(ASourceThatIsSlowIsReadAllTheSame, InCompany) {
   constexpr Millis Late{900};
   const Millis Wait = std::chrono::duration_cast<Millis>(FollowOptions().Wait);
--- a/Source/UnitTests/Node/SourceConfigServiceTests.cpp
+++ b/Source/UnitTests/Node/SourceConfigServiceTests.cpp
@@ -30,6 +30,7 @@
   void readOn(SourcePosition, Common::Micros, OnDone Done) {
     Open = std::move(Done);
   }
+  void onProgress(const std::function<void()> &) {}
   void cancel() { Open = nullptr; }
   DecodedSet decode(const std::string &Content) const {
     const std::size_t Blank = Content.find(' ');
