Send nothing twice beside the retry budget

Cause: when a kept connection ended before the first byte of an answer, the node beside the server sent a safe call again at once, on a new connection, to the same server. Nothing counted that: the budget is kept by the node of the caller. A server that breaks off answers got each broken call twice.

Now the node beside the server says that the outcome is not known, and the caller's node tries a safe call again, elsewhere, within the budget. ABrokenAnswerIsLeftToTheNodeWithTheBudget fails without (3 requests for 2).

--- a/Source/Core/Http/KeptClient.cpp
+++ b/Source/Core/Http/KeptClient.cpp
@@ -200,7 +200,6 @@
     std::string Server;
     TransferId Current = 0;
     std::optional<AnswerReader> Reader;
-    bool WasUsed = false;
     SteadyTime IdleSince;
     Common::Duration IdleLimit = DefaultIdleLimit;
   };
@@ -213,7 +212,7 @@
   static SteadyTime now() { return std::chrono::steady_clock::now(); }
 
   ConnectionId open();
-  void start(TransferId Id, Transfer &Task, bool OnNewConnection);
+  void start(TransferId Id, Transfer &Task);
   void takeBytes(ConnectionId Id, std::string_view Bytes);
   void settle(ConnectionId Id, Progress Step);
   std::size_t heldBytes() const;
@@ -253,10 +252,9 @@
   return Id;
 }
 
-void KeptClient::Impl::start(TransferId Id, Transfer &Task,
-                             bool OnNewConnection) {
+void KeptClient::Impl::start(TransferId Id, Transfer &Task) {
   ConnectionId Way = 0;
-  while (!OnNewConnection && Way == 0 && !Idle.empty()) {
+  while (Way == 0 && !Idle.empty()) {
     Way = Idle.front();
     Idle.pop_front();
     const Connection &Found = Connections.at(Way);
@@ -348,18 +346,8 @@
     return;
   }
   const TransferId Task = Ended.Current;
-  const bool WasUsed = Ended.WasUsed;
-  const bool HadBytes = Ended.Reader->hasBegun();
   const bool NeverConnected = Why.rfind("connect:", 0) == 0;
   Connections.erase(Found);
-  const auto Open = Transfers.find(Task);
-  if (Open == Transfers.end())
-    return;
-  if (WasUsed && !HadBytes && Open->second.Asked.MayResend) {
-    Open->second.Asked.MayResend = false;
-    start(Task, Open->second, true);
-    return;
-  }
   fail(Task, !NeverConnected, Why);
 }
 
@@ -376,7 +364,6 @@
   if (Clean) {
     Way.Reader.reset();
     Way.Current = 0;
-    Way.WasUsed = true;
     Way.IdleSince = now();
     if (const auto Stated = statedIdleTime(Result.Reply.Fields))
       Way.IdleLimit = Common::Duration(*Stated) * IdlePercent / 100;
@@ -448,7 +435,7 @@
     Self->drop(Found->second.Way);
     Self->fail(Id, true, "no answer within its time");
   });
-  Self->start(Id, Task, false);
+  Self->start(Id, Task);
   return Id;
 }
 
--- a/Source/Core/Http/KeptClient.h
+++ b/Source/Core/Http/KeptClient.h
@@ -20,9 +20,6 @@
   // An answer belongs to this request only when this field of it, in lower
   // case, has the value that was sent; empty when answers aren't marked.
   std::string EchoedField;
-  // Whether to send it again on a new connection when a kept one turns out to
-  // be closed before the first byte of an answer.
-  bool MayResend = false;
 };
 
 // Bounds of what a server may answer; bytes may come without end. A request
@@ -37,7 +34,8 @@
 
 // Sends requests to one server at a time over connections that are kept, one
 // request at a time on each. Bytes that belong to no request end their
-// connection and reach nobody.
+// connection and reach nobody. Nothing is sent twice: who asked decides about
+// another try, and has the budget for it.
 class KeptClient {
 public:
   explicit KeptClient(Kernel::Task &Home, const AnswerLimits &Limits = {});
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -170,7 +170,6 @@
     Http::KeptRequest Asked =
         Translation.toServerRequest(Call.Request, {Server.Server, Left});
     Asked.Limit = Left + ServerSlack;
-    Asked.MayResend = Call.Request.Idempotent;
     Call.Transfer = Transport->send(
         std::move(Asked),
         [this, Id](Http::ClientResult Result) { finish(Id, Result); });
--- a/Source/UnitTests/Http/KeptClientTests.cpp
+++ b/Source/UnitTests/Http/KeptClientTests.cpp
@@ -71,8 +71,7 @@
     Made->Stream = Adopt(std::move(Wired));
   }
 
-  Http::TransferId send(const std::string &Id, bool MayResend = false,
-                        Millis Limit = Millis(3000)) {
+  Http::TransferId send(const std::string &Id, Millis Limit = Millis(3000)) {
     Http::TransferId Sent = 0;
     Worker.runAndWait([&] {
       Http::KeptRequest Asked;
@@ -81,7 +80,6 @@
       Asked.Fields[Echo] = Id;
       Asked.EchoedField = Echo;
       Asked.Limit = Limit;
-      Asked.MayResend = MayResend;
       Sent = Client->send(std::move(Asked), [this](Http::ClientResult Result) {
         Results.push_back(std::move(Result));
       });
@@ -180,11 +178,11 @@
   };
   send("1");
   BOOST_TEST(result(1).Reply.Body == "all of it");
-  send("2", false, Millis(200));
+  send("2", Millis(200));
   BOOST_TEST(!result(2).Answered);
 }
 
-BOOST_FIXTURE_TEST_CASE(NeverSendsTwiceWhatMustRunOnce, Fixture) {
+BOOST_FIXTURE_TEST_CASE(NeverSendsTwice, Fixture) {
   OnRequest = [](int Number, Net::ByteStream &To) {
     if (Number == 1)
       To.write(answer("1", "body"));
@@ -199,21 +197,6 @@
   BOOST_TEST(Requests == 2);
 }
 
-BOOST_FIXTURE_TEST_CASE(SendsAgainWhatMayWhenAKeptConnectionWasClosed,
-                        Fixture) {
-  OnRequest = [](int Number, Net::ByteStream &To) {
-    if (Number == 2)
-      To.abandon("test");
-    else
-      To.write(answer(Number == 1 ? "1" : "2", "body"));
-  };
-  send("1");
-  result(1);
-  send("2", true);
-  BOOST_TEST(result(2).Answered);
-  BOOST_TEST(Requests == 3);
-}
-
 BOOST_FIXTURE_TEST_CASE(LeavesAConnectionBeforeItsStatedIdleTime, Fixture) {
   OnRequest = [](int Number, Net::ByteStream &To) {
     To.write(answer(std::to_string(Number), "", "Keep-Alive: timeout=1\r\n"));
--- a/Source/UnitTests/Node/BackendServiceTests.cpp
+++ b/Source/UnitTests/Node/BackendServiceTests.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Http/Server.h"
+#include "Net/Listener.h"
 #include "Node/BackendService.h"
 #include "UnitTests/RecordingSink.h"
 
@@ -158,6 +159,54 @@
   BOOST_TEST(Held.empty());
 }
 
+namespace {
+
+// Answers the first request; later ones end with their connection.
+struct BreakingServer {
+  explicit BreakingServer(Kernel::Task &Home)
+      : Socket(Home, "127.0.0.1", 0,
+               [this](const Net::Listener::Adopter &Adopt) { accept(Adopt); }) {
+  }
+
+  void accept(const Net::Listener::Adopter &Adopt) {
+    const std::size_t Index = Links.size();
+    Net::ByteStream::Events Wired;
+    Wired.OnBytes = [this, Index](std::string_view) {
+      if (++Requests == 1)
+        Links[Index]->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      else
+        Links[Index]->abandon("test");
+    };
+    Wired.OnClosed = [](Net::StreamEnd, const std::string &) {};
+    Links.push_back(Adopt(std::move(Wired)));
+  }
+
+  int Requests = 0;
+  std::vector<std::unique_ptr<Net::ByteStream>> Links;
+  Net::Listener Socket;
+};
+
+} // namespace
+
+// Second sends of servers that broke off answers were in nobody's budget.
+BOOST_FIXTURE_TEST_CASE(ABrokenAnswerIsLeftToTheNodeWithTheBudget, Fixture) {
+  std::unique_ptr<BreakingServer> Breaking;
+  Worker.runAndWait([&] {
+    Breaking = std::make_unique<BreakingServer>(Worker);
+    Tested->handle(Node::ServerAnnounced{
+        {"s", "s2", 1, false},
+        "127.0.0.1:" + std::to_string(Breaking->Socket.port())});
+  });
+  request(1, true);
+  BOOST_TEST((reply(0).Result == Common::ResultCode::Ok));
+  request(2, true);
+  BOOST_TEST((reply(1).Result == Common::ResultCode::OutcomeUnknown));
+  Worker.runAndWait([&] {
+    BOOST_TEST(Breaking->Requests == 2);
+    Breaking.reset();
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(DrainEndsAfterTheRunningCall, Fixture) {
   request(1, false);
   waitFor([&] { return Held.size() == 1; });
