--- a/Source/Core/Config/NewestFollower.cpp
+++ b/Source/Core/Config/NewestFollower.cpp
@@ -39,7 +39,7 @@
 }
 
 // The first set of all comes from the source: the members are hardly known yet.
-const FollowPeer *NewestFollower::reader(Common::SteadyTime Now) const {
+const FollowPeer *NewestFollower::readerToAsk(Common::SteadyTime Now) const {
   if (Held == 0 || Failing || Now < OwnReadUntil)
     return nullptr;
   const auto Found =
@@ -67,7 +67,7 @@
   // What peers had meanwhile comes with this read.
   if (WasGathering)
     BehindSince.reset();
-  if (const FollowPeer *Reader = reader(Now)) {
+  if (const FollowPeer *Reader = readerToAsk(Now)) {
     ReadingSince.reset();
     SourceAnswers = false;
     ReaderAskedAt = Now;
@@ -147,7 +147,7 @@
     Backoff = Given.LeastBackoff;
     Position = Answer.Next;
     SourceAnswers = true;
-    if (Answer.Content.empty() || reader(Now))
+    if (Answer.Content.empty() || readerToAsk(Now))
       return read(Now);
     Gathering = true;
     RetryAt = Now + Given.Gather;
@@ -185,7 +185,7 @@
   const bool IsReaderSilent =
       ReaderAskedAt &&
       Now - *ReaderAskedAt > Given.ReaderWait + Given.ReaderSlack;
-  const FollowPeer *Reader = reader(Now);
+  const FollowPeer *Reader = readerToAsk(Now);
   const bool IsReaderOther =
       ReaderAskedAt && (!Reader || Reader->Node != AskedReader);
   const bool IsOverdue = isReadOverdue(Now);
--- a/Source/Core/Config/NewestFollower.h
+++ b/Source/Core/Config/NewestFollower.h
@@ -126,7 +126,8 @@
   bool isTakingOver() const { return TakingOver; }
 
 private:
-  const FollowPeer *reader(Common::SteadyTime Now) const;
+  // Null when this node reads the source itself.
+  const FollowPeer *readerToAsk(Common::SteadyTime Now) const;
   FollowActions readWithoutReader(Common::SteadyTime Now);
   bool isReadOverdue(Common::SteadyTime Now) const;
   bool isNew() const { return Held == 0; }
--- a/Source/UnitTests/Config/NewestFollowerTests.cpp
+++ b/Source/UnitTests/Config/NewestFollowerTests.cpp
@@ -262,7 +262,7 @@
   BOOST_TEST(count<ReadOnFrom>(answer(ResultCode::Ok, 8)) == 1);
   BOOST_TEST(!Tested.isTakingOver());
   BOOST_TEST(Tested.isInTouch(Now));
-  // As long as it is asked.
+  // It reads on as long as it is asked.
   Now += Millis(1500);
   BOOST_TEST(Tested.asked(Now).empty());
   Now += Millis(1500);
