Refuse malformed configuration messages of peers where they arrive

Cause: SourceConfigService let the exception of the codec pass to the task, unlike ConfigService and ClaimsService. Test that failed before: SourceConfigServices/MalformedPeerMessageIsRefused.

--- a/Source/Core/Node/SourceConfigService.h
+++ b/Source/Core/Node/SourceConfigService.h
@@ -179,10 +179,17 @@
   }
 
   void onMessage(const EnvelopeArrived &Event) {
-    const Config::ReplicationMessage Content =
-        Wire::decodeReplication(Event.Content);
+    try {
+      handlePeerMessage(Event.Origin, Wire::decodeReplication(Event.Content));
+    } catch (const Common::Error &Failure) {
+      spdlog::warn("event=config-message-refused bytes={} reason=\"{}\"",
+                   Event.Content.size(), Failure.what());
+    }
+  }
+  void handlePeerMessage(OriginId Origin,
+                         const Config::ReplicationMessage &Content) {
     if (const auto *Request = std::get_if<Config::SetRequest>(&Content)) {
-      answerRequest(Event.Origin, *Request);
+      answerRequest(Origin, *Request);
     } else if (const auto *Snapshot =
                    std::get_if<Config::SetSnapshot>(&Content)) {
       handleSnapshot(*Snapshot);
--- a/Source/UnitTests/Node/SourceConfigServiceTests.cpp
+++ b/Source/UnitTests/Node/SourceConfigServiceTests.cpp
@@ -261,4 +261,11 @@
   BOOST_TEST(Reader.InForce.back().Newest.SetVersion == 4);
 }
 
+BOOST_FIXTURE_TEST_CASE(MalformedPeerMessageIsRefused, Fixture) {
+  BOOST_CHECK_NO_THROW(
+      Reader.Tested->handle(Node::EnvelopeArrived{1, "no message"}));
+  Reader.Source->answer(1);
+  BOOST_TEST(Reader.InForce.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
