Sum the extra attempts of all runs in zinnia-load's report

Cause: LoadReport::add left them out, so extra-attempts always printed 0. Test that failed before: LoadPlans/SumsTheExtraAttemptsOfAllRuns (0 != 6).

--- a/Source/Programs/zinnia-load/LoadReport.cpp
+++ b/Source/Programs/zinnia-load/LoadReport.cpp
@@ -49,6 +49,7 @@
   Served += Other.Served;
   Wrong += Other.Wrong;
   Unanswered += Other.Unanswered;
+  ExtraAttempts += Other.ExtraAttempts;
   Elapsed = std::max(Elapsed, Other.Elapsed);
   Latency.add(Other.Latency);
   for (const auto &[Code, Count] : Other.ByResult)
--- a/Source/UnitTests/Load/LoadPlanTests.cpp
+++ b/Source/UnitTests/Load/LoadPlanTests.cpp
@@ -53,4 +53,13 @@
   BOOST_TEST(Latency.quantile(0.999).count() == 999);
 }
 
+BOOST_AUTO_TEST_CASE(SumsTheExtraAttemptsOfAllRuns) {
+  LoadReport Sum;
+  LoadReport Run;
+  Run.ExtraAttempts = 3;
+  Sum.add(Run);
+  Sum.add(Run);
+  BOOST_TEST(Sum.ExtraAttempts == 6);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
