Tell connections that were never made by their end, not by a text

Cause: KeepAliveClient took a request for not run if the reason began with "connect:", and logged a truncated response as "closed by peer". Change: StreamEnd::NotConnected; the reason of a truncated response is the parser's. Test that failed before: KeepAliveClients/NamesATruncatedResponseAsSuch. The two tests of repeated refusals pass on the code before as well: an answer counts only with the identifier of the request in flight.

--- a/Source/Core/Http/KeepAliveClient.cpp
+++ b/Source/Core/Http/KeepAliveClient.cpp
@@ -359,15 +359,17 @@
     Connections.erase(Found);
     return;
   }
-  if (End == Net::StreamEnd::Finished && Closed.Reader->hasStarted() &&
-      Closed.Reader->finish() == Progress::Done) {
-    complete(Id);
-    return;
+  std::string Failure = Reason;
+  if (End == Net::StreamEnd::Finished && Closed.Reader->hasStarted()) {
+    if (Closed.Reader->finish() == Progress::Done) {
+      complete(Id);
+      return;
+    }
+    Failure = Closed.Reader->errorMessage();
   }
   const TransferId Transfer = Closed.CurrentTransfer;
-  const bool NeverConnected = Reason.rfind("connect:", 0) == 0;
   Connections.erase(Found);
-  fail(Transfer, !NeverConnected, Reason);
+  fail(Transfer, End != Net::StreamEnd::NotConnected, Failure);
 }
 
 void KeepAliveClient::Impl::complete(ConnectionId Id) {
--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -100,7 +100,8 @@
   int Size = sizeof Error;
   Stream.get_option(SOL_SOCKET, SO_ERROR, &Error, &Size);
   if (Error != 0) {
-    close(StreamEnd::Broken, std::string("connect: ") + std::strerror(Error));
+    close(StreamEnd::NotConnected,
+          std::string("connect: ") + std::strerror(Error));
     return;
   }
   Connecting = false;
@@ -204,7 +205,7 @@
   const int Result =
       Connector.connect(State->Stream, PeerAddress, &ZeroTimeout);
   if (Result < 0 && errno != EWOULDBLOCK && errno != EINPROGRESS) {
-    State->close(StreamEnd::Broken, "connect: " + errnoText());
+    State->close(StreamEnd::NotConnected, "connect: " + errnoText());
   } else {
     configureSocket(State->Stream);
     State->Connecting = true;
--- a/Source/Core/Net/ByteStream.h
+++ b/Source/Core/Net/ByteStream.h
@@ -15,7 +15,9 @@
 enum class StreamEnd {
   // The peer sent all its data and closed the connection in order.
   Finished,
-  // The connection was reset, refused, timed out or closed by this side.
+  // The connection was never established, so the peer received nothing.
+  NotConnected,
+  // The established connection was reset, timed out or closed by this side.
   Broken,
 };
 
--- a/Source/UnitTests/Http/KeepAliveClientTests.cpp
+++ b/Source/UnitTests/Http/KeepAliveClientTests.cpp
@@ -234,4 +234,46 @@
   BOOST_TEST(!result(1).MayHaveRun);
 }
 
+BOOST_FIXTURE_TEST_CASE(NamesATruncatedResponseAsSuch, Fixture) {
+  OnRequest = [](int, Net::ByteStream &Peer) {
+    Peer.write("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nab");
+    Peer.closeGracefully();
+  };
+  send("1");
+  BOOST_TEST(!result(1).Answered);
+  BOOST_TEST(result(1).MayHaveRun);
+  BOOST_TEST(result(1).Failure.find("malformed response") != std::string::npos);
+}
+
+// A server repeats an earlier refusal on a connection that carries the next
+// request by now. That request may be running, so it must not count as not run.
+BOOST_FIXTURE_TEST_CASE(RepeatedRefusalDoesNotAnswerTheNextRequest, Fixture) {
+  const std::string Refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\n"
+                              "X-Refused: 1\r\nContent-Length: 0\r\n\r\n";
+  OnRequest = [&](int Number, Net::ByteStream &Peer) {
+    Peer.write(Refusal);
+    if (Number == 2)
+      Peer.closeGracefully();
+  };
+  send("1");
+  BOOST_TEST(result(1).Reply.Status == 503);
+  send("2");
+  BOOST_TEST(!result(2).Answered);
+  BOOST_TEST(result(2).MayHaveRun);
+}
+
+// The same, but the repeated refusal carries no request identifier.
+BOOST_FIXTURE_TEST_CASE(RefusalWithoutIdDoesNotAnswerTheNextRequest, Fixture) {
+  OnRequest = [&](int Number, Net::ByteStream &Peer) {
+    Peer.write("HTTP/1.1 503 Service Unavailable\r\nX-Refused: 1\r\n"
+               "Content-Length: 0\r\n\r\n");
+    Peer.write(response(std::to_string(Number), "own"));
+  };
+  send("1");
+  BOOST_TEST(result(1).Reply.Body == "own");
+  send("2");
+  BOOST_TEST(result(2).Reply.Body == "own");
+  BOOST_TEST(connectionsOpened() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
