Refuse requests whose body trickles in

Cause: only the head of a request was limited in time, so a caller could hold a connection and its buffers without end. Change: a body has to arrive at 1 KiB a second at least, after the time for heads. Test that failed before: EdgeServers/BodyThatTricklesInIsRefused.

--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -27,6 +27,10 @@
 // this the server stops reading from the connection.
 constexpr std::size_t MaxPipelinedBytes = 64 << 10;
 
+// The least rate at which a caller has to send a body. It is far below that of
+// the slowest links, so it ends only requests that would never be complete.
+constexpr std::int64_t MinBodyBytesPerSecond = 1 << 10;
+
 constexpr int HeaderFieldsTooLarge = 431;
 
 enum class Phase { Idle, Reading, Responding, Closing };
@@ -36,6 +40,8 @@
   Phase State = Phase::Idle;
   std::string Incoming;
   std::unique_ptr<Parser> RequestParser;
+  // Bytes of the request that is being read.
+  std::int64_t RequestBytes = 0;
   ExchangeId Exchange = 0;
   // When the current phase began.
   SteadyTime PhaseStart;
@@ -98,6 +104,7 @@
   void close(Connection &Peer);
   void handleClosed(ConnectionId Id);
   void sweep();
+  Common::Duration readTimeout(const Connection &Peer) const;
   void enterPhase(Connection &Peer, Phase Next) {
     Peer.State = Next;
     Peer.PhaseStart = now();
@@ -154,6 +161,7 @@
     Peer.RequestParser->body_limit(Limits.BodyBytes);
     Peer.RequestParser->get().body().Limit = Limits.BodyBytes;
     Peer.ContinueSent = false;
+    Peer.RequestBytes = 0;
     enterPhase(Peer, Phase::Reading);
   }
   beast::error_code Error;
@@ -168,6 +176,7 @@
       break;
   }
   Peer.Incoming.erase(0, Offset);
+  Peer.RequestBytes += static_cast<std::int64_t>(Offset);
   if (Error && Error != beast::http::error::need_more) {
     reject(Peer, statusForError(Error));
     return;
@@ -230,6 +239,14 @@
     OnCallerDisconnected(Exchange);
 }
 
+// How long a request may take to arrive, given the bytes received so far.
+Common::Duration EdgeServer::Impl::readTimeout(const Connection &Peer) const {
+  if (!Peer.RequestParser->is_header_done())
+    return Limits.HeaderTimeout;
+  return Limits.HeaderTimeout +
+         std::chrono::seconds(1) * Peer.RequestBytes / MinBodyBytesPerSecond;
+}
+
 // Applies the timeout of the current phase to each connection. One timer serves
 // all connections.
 void EdgeServer::Impl::sweep() {
@@ -241,8 +258,7 @@
     const Common::Duration Age = Now - Open.PhaseStart;
     if (Open.State == Phase::Idle && Age > Limits.IdleTimeout)
       close(Open);
-    else if (Open.State == Phase::Reading && Age > Limits.HeaderTimeout &&
-             !Open.RequestParser->is_header_done())
+    else if (Open.State == Phase::Reading && Age > readTimeout(Open))
       reject(Open, RequestTimeout);
     else if (Open.State == Phase::Closing && Age > LingerTimeout)
       Lingering.push_back(Id);
--- a/Source/UnitTests/Http/EdgeServerTests.cpp
+++ b/Source/UnitTests/Http/EdgeServerTests.cpp
@@ -189,4 +189,25 @@
   BOOST_TEST(Last.readUntil("hello").find("200") != std::string::npos);
 }
 
+BOOST_FIXTURE_TEST_CASE(BodyThatTricklesInIsRefused, Fixture) {
+  RawSocket Peer(Port);
+  Peer.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
+  const auto End = std::chrono::steady_clock::now() + Millis(3000);
+  while (std::chrono::steady_clock::now() < End && !Peer.isClosed(Millis(50)))
+    Peer.send("x");
+  BOOST_TEST(Peer.isClosed(Millis(1)));
+  BOOST_TEST(Peer.readUntil("408", Millis(1)).find("408") != std::string::npos);
+  BOOST_TEST(requestCount() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(SlowBodyThatMakesProgressIsAccepted, Fixture) {
+  RawSocket Peer(Port);
+  Peer.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n\r\n");
+  for (int Part = 0; Part < 8; ++Part) {
+    std::this_thread::sleep_for(Millis(100));
+    Peer.send(std::string(500, 'x'));
+  }
+  BOOST_TEST(Peer.readUntil("200 OK").find("200 OK") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
