Count only first attempts as latency of a kind

Cause: OpenAttempt::IsFirst was never set to false, so retries and hedges fed the quantiles that refuse calls and delay hedges. Test that failed before: Dispatchers/LatencyOfRetriesDoesNotRefuseCalls.

--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -154,6 +154,7 @@
     ServerEntry Server;
     Common::SteadyTime SentAt;
     std::string Kind;
+    // Whether no earlier attempt of the call reached a backend server.
     bool IsFirst = true;
   };
   // State that all calls of one request kind share.
@@ -400,7 +401,8 @@
   Call.InFlight.push_back(Attempt);
   Call.Excluded.insert(Server.Server);
   Attempts.emplace(Attempt,
-                   OpenAttempt{Call.Start.Call, Server, Now, Call.Kind.Name});
+                   OpenAttempt{Call.Start.Call, Server, Now, Call.Kind.Name,
+                               Call.AttemptsMade == 1});
   AttemptsByNode[Server.Node].insert(Attempt);
   Records.attemptSent(Server.Server, Call.Kind.Name, Now);
   CallRequest Request = makeRequest(Call, Attempt, Now);
--- a/Source/UnitTests/Routing/DispatcherTests.cpp
+++ b/Source/UnitTests/Routing/DispatcherTests.cpp
@@ -149,4 +149,32 @@
   BOOST_TEST(Second.Request.ConfigVersion == 5);
 }
 
+// A retry that takes long says nothing about how long a first attempt takes, so
+// it must not lead to refusals.
+BOOST_FIXTURE_TEST_CASE(LatencyOfRetriesDoesNotRefuseCalls, Fixture) {
+  constexpr int CallCount = 40;
+  Calls.useSet(6, Config::ObjectSetBuilder()
+                      .input("f", "[service s]\n[retry r]\nattempts = 3\n"
+                                  "budget-percent = 100\n"
+                                  "[kind read]\nidempotent = yes\n"
+                                  "deadline = 1s\nretry = r\n"
+                                  "[route a]\nprefix = /read\nservice = s\n"
+                                  "kind = read\n")
+                      .build());
+  CallId Id = 1;
+  for (; Id <= CallCount; ++Id) {
+    const auto First = sent(startCall(Id, "/read"));
+    const auto Retry =
+        sent(answer(First.Request.Attempt, ResultCode::QueueFull));
+    Now += Millis(900);
+    answer(Retry.Request.Attempt, ResultCode::Ok);
+  }
+  CallStart Short;
+  Short.Call = Id;
+  Short.Path = "/read";
+  Short.Timeout = Millis(500);
+  const auto Actions = Calls.startCall(std::move(Short), Now);
+  BOOST_TEST(std::holds_alternative<SendAttempt>(Actions[0]));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
