Send no calls to a data centre that is cut off

Cause: when a data centre is cut off, each connection into it became silent on its own and was given up after its own 1.2 s, only while it carried calls, and a new one was tried at once. Ruled out: a shorter time-out for a single connection, which lossy links break.

--- a/Source/Core/Membership/EchoMonitor.h
+++ b/Source/Core/Membership/EchoMonitor.h
@@ -32,6 +32,10 @@
   // Has to be called at short intervals. Busy is true while calls are pending.
   Step tick(bool Busy, Common::SteadyTime Now);
   void onAnswer(std::int64_t AnsweredSequence);
+  // Since when an echo has been unanswered, if one is.
+  std::optional<Common::SteadyTime> unansweredSince() const {
+    return AnswerPending ? std::optional(PendingSince) : std::nullopt;
+  }
 
 private:
   EchoLimits Limits;
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -124,6 +124,9 @@
     if constexpr (requires { Calls.budgets().setNodeCount(Event.NodeCount); })
       Calls.budgets().setNodeCount(Event.NodeCount);
   }
+  void onMessage(DataCentresUnreachable &Event) {
+    Calls.useUnreachable(std::move(Event.DataCentres));
+  }
   void onMessage(ReplyArrived &Event) {
     act(Calls.handleReply(Event.Reply, now()));
   }
@@ -229,8 +232,8 @@
       spdlog::info("event=additional-attempt id={} number={} server={} node={}",
                    Action.Request.CorrelationId, Action.AttemptNumber,
                    Action.Request.Server, Action.Node);
-    const auto Posted =
-        Targets.ToPeers.post(SendRequest{Action.Node, Action.Request});
+    const auto Posted = Targets.ToPeers.post(
+        SendRequest{Action.Node, Action.Request, Action.DataCentre});
     if (Posted == Kernel::PostResult::Accepted)
       return;
     Routing::CallReply Refused;
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -51,6 +52,10 @@
 struct NodeLost {
   Routing::NodeAddress Address;
 };
+// The data centres that this node cannot reach at the moment.
+struct DataCentresUnreachable {
+  std::set<std::string> DataCentres;
+};
 // The outcome of a call's claim. Code is Ok when the call may run; otherwise
 // it is the result to return to the caller. RecordedReply is the reply of the
 // earlier call that used the same key.
@@ -69,11 +74,14 @@
 };
 using IngressMessage =
     std::variant<ConfigAccepted, ServersChanged, ReplyArrived, NodeLost,
-                 ClaimDecided, CallerServiceChanged, LoadReceived>;
+                 ClaimDecided, CallerServiceChanged, LoadReceived,
+                 DataCentresUnreachable>;
 
 struct SendRequest {
   Routing::NodeAddress Address;
   Routing::CallRequest Request;
+  // The data centre of the node; empty if unknown.
+  std::string DataCentre = {};
 };
 struct SendCancel {
   Routing::NodeAddress Address;
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include <deque>
+#include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -11,6 +15,7 @@
 #include "Common/Error.h"
 #include "Kernel/Host.h"
 #include "Membership/Backoff.h"
+#include "Membership/DataCentreReachability.h"
 #include "Membership/EchoMonitor.h"
 #include "Membership/LoadReportScheduler.h"
 #include "Node/Messages.h"
@@ -67,10 +72,14 @@
     Membership::EchoMonitor Monitor;
     std::unordered_set<Routing::AttemptId> PendingAttempts;
     bool WasConnected = false;
+    // Empty if it is that of this node, or unknown.
+    std::string DataCentre;
   };
   struct InboundConnection {
     std::unique_ptr<Wire::FrameSocket> Socket;
     Common::SteadyTime LastReceived;
+    // Empty if it is that of this node, or unknown.
+    std::string DataCentre;
     Membership::LoadReportScheduler Sharing{false};
   };
 
@@ -87,11 +96,13 @@
       return;
     }
     const auto Backoff = Backoffs.find(Command.Address);
-    if (Backoff != Backoffs.end() && !Backoff->second.mayTry(now())) {
+    if ((Backoff != Backoffs.end() && !Backoff->second.mayTry(now())) ||
+        Reachability.unreachable().contains(Command.DataCentre)) {
       refuse(Command.Request.Attempt);
       return;
     }
-    OutboundConnection &Connection = outbound(Command.Address);
+    OutboundConnection &Connection =
+        outbound(Command.Address, otherDataCentre(Command.DataCentre));
     Connection.PendingAttempts.insert(Command.Request.Attempt);
     Connection.Socket->send(Wire::encodeFrame(Command.Request));
   }
@@ -148,7 +159,12 @@
     }
   }
 
-  OutboundConnection &outbound(const Routing::NodeAddress &Address) {
+  std::string otherDataCentre(const std::string &DataCentre) const {
+    return DataCentre == Settings.DataCentre ? std::string() : DataCentre;
+  }
+
+  OutboundConnection &outbound(const Routing::NodeAddress &Address,
+                               const std::string &DataCentre) {
     const auto Found = Outbound.find(Address);
     if (Found != Outbound.end())
       return Found->second;
@@ -157,7 +173,9 @@
       handleOutboundFrame(Outbound.at(Address), Bytes);
     };
     Events.OnConnected = [this, Address] {
-      Outbound.at(Address).WasConnected = true;
+      OutboundConnection &Connected = Outbound.at(Address);
+      Connected.WasConnected = true;
+      recordSignOfLife(Connected.DataCentre);
       spdlog::info("dependency=node state=connected address={}", Address);
       Backoffs.erase(Address);
     };
@@ -174,11 +192,13 @@
                  OutboundConnection{std::move(Socket),
                                     Membership::EchoMonitor(Limits, now()),
                                     {},
-                                    false})
+                                    false,
+                                    DataCentre})
         .first->second;
   }
 
   void handleOutboundFrame(OutboundConnection &From, std::string_view Bytes) {
+    recordSignOfLife(From.DataCentre);
     Wire::Frame Content = Wire::decodeFrame(Bytes);
     if (auto *Reply = std::get_if<Routing::CallReply>(&Content)) {
       From.PendingAttempts.erase(Reply->Attempt);
@@ -226,7 +246,8 @@
     Events.OnClosed = [this, Origin](const std::string &Reason) {
       onInboundLost(Origin, Reason);
     };
-    Inbound.emplace(Origin, InboundConnection{Adopt(std::move(Events)), now()});
+    Inbound.emplace(Origin,
+                    InboundConnection{Adopt(std::move(Events)), now(), {}});
   }
 
   void onInboundLost(OriginId Origin, const std::string &Reason) {
@@ -240,10 +261,13 @@
     InboundConnection &From = Inbound.at(Origin);
     From.LastReceived = now();
     Wire::Frame Content = Wire::decodeFrame(Bytes);
-    if (const auto *Greeting = std::get_if<Wire::Hello>(&Content))
+    if (const auto *Greeting = std::get_if<Wire::Hello>(&Content)) {
       From.Sharing = Membership::LoadReportScheduler(Greeting->DataCentre ==
                                                      Settings.DataCentre);
-    else if (auto *Request = std::get_if<Routing::CallRequest>(&Content))
+      From.DataCentre = otherDataCentre(Greeting->DataCentre);
+    }
+    recordSignOfLife(From.DataCentre);
+    if (auto *Request = std::get_if<Routing::CallRequest>(&Content))
       handleRequest(Origin, From, *Request);
     else if (const auto *Cancel = std::get_if<Wire::CancelCall>(&Content))
       Targets.ToBackend.post(CancelArrived{Origin, Cancel->Attempt});
@@ -262,13 +286,90 @@
     shareLoad();
     checkOutbound();
     checkInbound();
+    checkDataCentres();
+  }
+
+  void recordSignOfLife(const std::string &DataCentre) {
+    if (DataCentre.empty())
+      return;
+    Reachability.onReceived(DataCentre, now());
+    publishUnreachable();
+  }
+
+  void checkDataCentres() {
+    std::map<std::string, Membership::DataCentreReachability::Unanswered>
+        Echoes;
+    for (const std::string &DataCentre : Published)
+      Echoes[DataCentre];
+    for (const auto &[Address, Connection] : Outbound) {
+      if (Connection.DataCentre.empty())
+        continue;
+      auto &OfDataCentre = Echoes[Connection.DataCentre];
+      if (const auto Since = Connection.Monitor.unansweredSince())
+        OfDataCentre.add(*Since);
+    }
+    for (const auto &[DataCentre, Unanswered] : Echoes)
+      Reachability.update(DataCentre, Unanswered, now());
+    publishUnreachable();
+    for (const std::string &DataCentre : Published)
+      if (Reachability.takeProbe(DataCentre, now()))
+        probe(DataCentre);
+  }
+
+  // Connects anew to the nodes of an unreachable data centre in turn, since the
+  // old connections may stay silent when it is reachable again.
+  void probe(const std::string &DataCentre) {
+    std::deque<Routing::NodeAddress> &Nodes = ProbeTargets[DataCentre];
+    if (Nodes.empty())
+      return;
+    Nodes.push_back(std::move(Nodes.front()));
+    Nodes.pop_front();
+    outbound(Nodes.back(), DataCentre);
+  }
+
+  // Tells the ingress which data centres calls must not be sent to.
+  void publishUnreachable() {
+    const std::set<std::string> &Unreachable = Reachability.unreachable();
+    if (Unreachable == Published)
+      return;
+    for (const std::string &DataCentre : Unreachable)
+      if (!Published.contains(DataCentre))
+        giveUp(DataCentre);
+    for (const std::string &DataCentre : Published)
+      if (!Unreachable.contains(DataCentre)) {
+        spdlog::info("dependency=data-centre state=regained name={}",
+                     DataCentre);
+        ProbeTargets.erase(DataCentre);
+      }
+    Published = Unreachable;
+    Targets.ToIngress.post(DataCentresUnreachable{Published});
+  }
+
+  // Refuses the calls that wait for a connection to the data centre. Those that
+  // were sent may be running there, so their connections are kept.
+  void giveUp(const std::string &DataCentre) {
+    std::vector<Routing::NodeAddress> NeverConnected;
+    std::deque<Routing::NodeAddress> &Nodes = ProbeTargets[DataCentre];
+    for (const auto &[Address, Connection] : Outbound)
+      if (Connection.DataCentre == DataCentre) {
+        Nodes.push_back(Address);
+        if (!Connection.WasConnected)
+          NeverConnected.push_back(Address);
+      }
+    spdlog::warn("dependency=data-centre state=lost name={} connections={}",
+                 DataCentre, Nodes.size());
+    for (const Routing::NodeAddress &Address : NeverConnected)
+      onOutboundLost(Address, "the data centre is unreachable");
   }
 
   void checkOutbound() {
     std::vector<Routing::NodeAddress> TimedOut;
     for (auto &[Address, Connection] : Outbound) {
-      const auto Step =
-          Connection.Monitor.tick(!Connection.PendingAttempts.empty(), now());
+      // When one node of a data centre is silent, all its nodes are asked.
+      const bool InDoubt = Reachability.state(Connection.DataCentre) ==
+                           Membership::DataCentreReachability::State::InDoubt;
+      const auto Step = Connection.Monitor.tick(
+          InDoubt || !Connection.PendingAttempts.empty(), now());
       if (Step.SendEcho)
         Connection.Socket->send(
             Wire::encodeFrame(Wire::Echo{*Step.SendEcho, false}));
@@ -308,6 +409,11 @@
   std::unordered_map<Routing::NodeAddress, OutboundConnection> Outbound;
   std::unordered_map<Routing::NodeAddress, Membership::Backoff> Backoffs;
   std::unordered_map<OriginId, InboundConnection> Inbound;
+  Membership::DataCentreReachability Reachability;
+  // The unreachable data centres that the ingress knows of.
+  std::set<std::string> Published;
+  // The nodes of each unreachable data centre to connect to in turn.
+  std::map<std::string, std::deque<Routing::NodeAddress>> ProbeTargets;
   std::mt19937_64 Random{std::random_device{}()};
   // The last reported load of the local backend server.
   ShareLoad LatestLoad;
--- a/Source/Core/Routing/AdaptiveChoice.cpp
+++ b/Source/Core/Routing/AdaptiveChoice.cpp
@@ -185,7 +185,7 @@
   std::vector<std::size_t> Ejected;
   for (const std::size_t Index : Pool.Members) {
     const std::string &Name = Input.Servers[Index].Server;
-    if (Input.Excluded.contains(Name))
+    if (!Input.mayChoose(Input.Servers[Index]))
       continue;
     const ServerRecord *Record = Input.Records.find(Name);
     if (!Record)
--- a/Source/Core/Routing/ChoicePolicy.cpp
+++ b/Source/Core/Routing/ChoicePolicy.cpp
@@ -22,7 +22,7 @@
   std::vector<std::size_t> Remote;
   for (std::size_t Index = 0; Index < Input.Servers.size(); ++Index) {
     const ServerEntry &Server = Input.Servers[Index];
-    if (Input.Excluded.contains(Server.Server))
+    if (!Input.mayChoose(Server))
       continue;
     (Server.DataCentre == Input.LocalDataCentre ? Local : Remote)
         .push_back(Index);
--- a/Source/Core/Routing/ChoicePolicy.h
+++ b/Source/Core/Routing/ChoicePolicy.h
@@ -28,6 +28,15 @@
   // Time left until the latency target is missed, or until the deadline if the
   // kind has no target; 0 when not specified.
   Common::Micros TargetTimeLeft = Common::Micros(0);
+  // Data centres whose servers must not be chosen.
+  const std::set<std::string> &Unreachable = NoDataCentres;
+
+  bool mayChoose(const ServerEntry &Server) const {
+    return !Excluded.contains(Server.Server) &&
+           !Unreachable.contains(Server.DataCentre);
+  }
+
+  static inline const std::set<std::string> NoDataCentres = {};
 };
 
 // A load balancing policy. It chooses the index of a server, or none if no
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -43,6 +43,7 @@
   CallRequest Request;
   // Starts at 1 and includes attempts that server-side nodes refused.
   int AttemptNumber = 1;
+  std::string DataCentre = {};
 };
 struct CancelAttempt {
   NodeAddress Node;
@@ -90,6 +91,11 @@
   void useSet(Config::Version NewVersion, Config::ObjectSetPtr NewSet);
   void useServers(ServerViewPtr NewServers, Common::SteadyTime Now);
 
+  // No call is sent to these data centres until they are left out again.
+  void useUnreachable(std::set<std::string> DataCentres) {
+    Unreachable = std::move(DataCentres);
+  }
+
   DispatchActions startCall(CallStart &&Start, Common::SteadyTime Now);
   // Ignores a reply to an attempt that is no longer open.
   DispatchActions handleReply(const CallReply &Reply, Common::SteadyTime Now);
@@ -231,6 +237,7 @@
   Config::Version ActiveVersion = 0;
   Config::ObjectSetPtr Set;
   ServerViewPtr Servers = std::make_shared<const ServerView>();
+  std::set<std::string> Unreachable;
   std::unordered_map<CallId, OpenCall> Calls;
   std::unordered_map<AttemptId, OpenAttempt> Attempts;
   std::unordered_map<NodeAddress, std::set<AttemptId>> AttemptsByNode;
@@ -383,7 +390,8 @@
     const std::optional<std::size_t> Chosen = Choice.choose(
         {Candidates, Records, LocalDataCentre, Call.Excluded, Now,
          Call.Kind.Name,
-         std::chrono::duration_cast<Common::Micros>(Call.TargetTime - Now)});
+         std::chrono::duration_cast<Common::Micros>(Call.TargetTime - Now),
+         Unreachable});
     if (Chosen)
       return &Candidates[*Chosen];
   }
@@ -408,7 +416,8 @@
   CallRequest Request = makeRequest(Call, Attempt, Now);
   Request.Server = Server.Server;
   Actions.push_back(SendAttempt{Server.Node, std::move(Request),
-                                Call.AttemptsMade + Call.Redirects});
+                                Call.AttemptsMade + Call.Redirects,
+                                Server.DataCentre});
 }
 
 template <ChoicePolicy Policy, RetryBudgets Budgets>
--- a/Source/Core/Routing/ExpectedTimeChoice.cpp
+++ b/Source/Core/Routing/ExpectedTimeChoice.cpp
@@ -146,7 +146,7 @@
   for (std::size_t Index = 0; Index < Input.Servers.size(); ++Index) {
     const ServerEntry &Server = Input.Servers[Index];
     if ((Server.DataCentre == Input.LocalDataCentre) != IsLocal ||
-        Input.Excluded.contains(Server.Server))
+        !Input.mayChoose(Server))
       continue;
     const Seconds Cost = expectedTime(Input, Server, Typical);
     if (!Best || Cost < Best->Cost)
--- a/Source/UnitTests/Node/PeersServiceTests.cpp
+++ b/Source/UnitTests/Node/PeersServiceTests.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "Common/ScopeGuard.h"
 #include "Node/PeersService.h"
 #include "UnitTests/RecordingSink.h"
 
@@ -77,14 +78,14 @@
   std::unique_ptr<Peers> CallerSide;
   std::unique_ptr<Peers> ServerSide;
   std::unique_ptr<Relay> Between;
+  int ServerPort = freePort();
 
   Fixture() {
     Worker.spawn();
-    const int Port = freePort();
     Worker.runAndWait([&] {
-      ServerSide = start(Port, Unused, ToBackend);
+      ServerSide = start(ServerPort, Unused, ToBackend);
       CallerSide = start(0, ToIngress, ToBackend);
-      Between = std::make_unique<Relay>(Worker, Port);
+      Between = std::make_unique<Relay>(Worker, ServerPort);
     });
   }
   ~Fixture() {
@@ -112,11 +113,12 @@
     return Result;
   }
 
-  void request(const std::string &Address, Routing::AttemptId Id) {
+  void request(const std::string &Address, Routing::AttemptId Id,
+               const std::string &DataCentre = "") {
     Worker.runAndWait([&] {
       Routing::CallRequest Request;
       Request.Attempt = Id;
-      CallerSide->handle(Node::SendRequest{Address, Request});
+      CallerSide->handle(Node::SendRequest{Address, Request, DataCentre});
     });
   }
   // Answers a request that arrived at the server-side node.
@@ -199,6 +201,49 @@
   BOOST_TEST(waitFor<Node::ReplyArrived>(ToIngress, 1).Reply.Attempt == 8);
 }
 
+// A data centre is cut off. Each connection into it notices that by itself only
+// after its own time-out, so that calls used to wait for one node after the
+// other.
+BOOST_FIXTURE_TEST_CASE(CallsToACutDataCentreAreRefusedAtOnce, Fixture) {
+  std::unique_ptr<Relay> Other;
+  Worker.runAndWait(
+      [&] { Other = std::make_unique<Relay>(Worker, ServerPort); });
+  const Common::ScopeGuard Cleanup(
+      [&] { Worker.runAndWait([&] { Other.reset(); }); });
+  request(Between->address(), 1, "derby");
+  request(Other->address(), 2, "derby");
+  waitFor<Node::RequestArrived>(ToBackend, 1);
+  Worker.runAndWait([&] {
+    Between->drop(true, true);
+    Other->drop(true, true);
+  });
+  const auto Cut =
+      waitFor<Node::DataCentresUnreachable>(ToIngress, 0).DataCentres;
+  BOOST_TEST(Cut.contains("derby"));
+  // The calls that were sent may be running, so nothing is said about them.
+  request("127.0.0.1:1", 3, "derby");
+  const auto Refused = waitFor<Node::ReplyArrived>(ToIngress, 1).Reply;
+  BOOST_TEST(Refused.Attempt == 3);
+  BOOST_TEST((Refused.Result == Common::ResultCode::PeerUnreachable));
+  // New connections work, so a probe finds out.
+  Worker.runAndWait([&] {
+    Between->drop(false, false);
+    Other->drop(false, false);
+  });
+  const auto End = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  bool IsRegained = false;
+  while (!IsRegained && std::chrono::steady_clock::now() < End) {
+    Worker.runAndWait([&] {
+      for (const Node::IngressMessage &Message : ToIngress)
+        if (const auto *Now =
+                std::get_if<Node::DataCentresUnreachable>(&Message))
+          IsRegained = Now->DataCentres.empty();
+    });
+    std::this_thread::sleep_for(Millis(1));
+  }
+  BOOST_TEST(IsRegained);
+}
+
 BOOST_FIXTURE_TEST_CASE(ConnectionWithAnsweredEchoesIsKept, Fixture) {
   request(Between->address(), 1);
   const auto First = waitFor<Node::RequestArrived>(ToBackend, 0);
--- a/Source/UnitTests/Routing/RedirectTests.cpp
+++ b/Source/UnitTests/Routing/RedirectTests.cpp
@@ -252,4 +252,26 @@
   BOOST_TEST(RemoteCalls == 50);
 }
 
+// The data centre of all other servers is cut off.
+BOOST_AUTO_TEST_CASE(CallsAreNotSentToUnreachableDataCentres) {
+  Node Tested;
+  auto View = std::make_shared<ServerView>();
+  View->ByService["s"] = {{"near", "n1", "here", 1},
+                          {"far1", "n2", "there", 6},
+                          {"far2", "n3", "there", 6}};
+  View->ByService["t"] = {{"far3", "n4", "there", 6}};
+  Tested.Calls.useServers(View, Tested.Now);
+  Tested.Calls.useUnreachable({"there"});
+  for (int Count = 0; Count < 50; ++Count)
+    BOOST_TEST(serverOf(Tested.startCall("/write/1")) == "near");
+  // A redirect would only lead there, so the caller is answered at once.
+  const auto Sent = Tested.startCall("/write/1");
+  const auto Refused = Tested.answer(Sent, ResultCode::PeerUnreachable);
+  BOOST_TEST(std::holds_alternative<AnswerCaller>(Refused.back()));
+  Tested.Calls.useUnreachable({});
+  const auto Redirected =
+      Tested.answer(Tested.startCall("/write/1"), ResultCode::PeerUnreachable);
+  BOOST_TEST(std::holds_alternative<SendAttempt>(Redirected.back()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
