Log where a node stops following the claims, and wait for that in at-most-once.sh

Cause (suspected, seen once): a node that learns of better ranked members stops reading before it knows the claims, without a log line, and the script waited for the line that it knows them. Change: a log line, and the script waits until each node has read all claims since it last began to read, or does not read. A node that reads must still catch up.

--- a/Source/Core/Node/ClaimsService.h
+++ b/Source/Core/Node/ClaimsService.h
@@ -242,6 +242,7 @@
     if (!mustFollowLog()) {
       Following = false;
       Batcher.reset();
+      spdlog::info("this node stops following the claims of the key window");
       return;
     }
     // Does not long-poll before it has caught up, so that an empty answer shows
--- a/Tools/scenarios/at-most-once.sh
+++ b/Tools/scenarios/at-most-once.sh
@@ -60,10 +60,16 @@
       END {print s, r}'
 }
 
+# Whether the node has read all claims since it last began to, or does not read
+# them: a node that learns of better ranked members stops before it knows them.
+is_settled() { # NODE
+  ! grep -E 'reads the claims|knows .* claims|stops following the claims' \
+    "$Run/$1.log" | tail -n 1 | grep -q 'reads the claims'
+}
+
 wait_until 10 grep -q 'knows .* claims' "$Run/leicester-1.log"
 for Name in derby-1 derby-2 derby-3; do
-  grep -q 'reads the claims' "$Run/$Name.log" &&
-    wait_until 10 grep -q 'knows .* claims' "$Run/$Name.log"
+  wait_until 10 is_settled "$Name"
 done
 
 echo "--- validation of keys and recorded responses"
