Answer requests that were received before a planned stop

Cause: when a node drained, the connection was closed after the answer to the request in progress, although a further request on it had been read already. That one ended without an answer. Change: the connection is closed when what was received has been answered. Test that failed before: EdgeServers/DrainAnswersRequestsThatWereReceived.

--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -280,7 +280,9 @@
     return;
   const Impl::ConnectionId ConnectionKey = Entry.mapped();
   Connection &Peer = Self->Connections.at(ConnectionKey);
-  const bool KeepAlive = Peer.KeepAlive && !Self->Draining;
+  // Requests that were received before the stop are answered first.
+  const bool KeepAlive =
+      Peer.KeepAlive && (!Self->Draining || !Peer.Incoming.empty());
   Peer.Stream->write(encode(Reply, KeepAlive, !Peer.OmitBody));
   if (!KeepAlive) {
     Self->close(Peer);
--- a/Source/UnitTests/Http/EdgeServerTests.cpp
+++ b/Source/UnitTests/Http/EdgeServerTests.cpp
@@ -210,4 +210,24 @@
   BOOST_TEST(Peer.readUntil("200 OK").find("200 OK") != std::string::npos);
 }
 
+// A planned stop begins while a request runs. The next one on the connection
+// has been received already, so it must get an answer as well.
+BOOST_FIXTURE_TEST_CASE(DrainAnswersRequestsThatWereReceived, Fixture) {
+  RawSocket Peer(Port);
+  Peer.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
+            "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_REQUIRE(waitFor([&] { return !OpenExchanges.empty(); }));
+  std::this_thread::sleep_for(Millis(50));
+  Worker.runAndWait([&] {
+    Server->drainConnections();
+    Http::Response Reply;
+    Reply.Body = "held";
+    Server->respond(OpenExchanges[0], Reply);
+  });
+  const std::string Received = Peer.readUntil("GET /next");
+  BOOST_TEST(Received.find("held") != std::string::npos);
+  BOOST_TEST(Received.find("GET /next") != std::string::npos);
+  BOOST_TEST(Peer.isClosed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
