--- a/Tools/test.sh
+++ b/Tools/test.sh
@@ -15,8 +15,8 @@
   Exclude=(-E "^($(IFS='|'; echo "${KnownFailures[*]}"))\$")
   echo "--- known failures, run without effect on the result:"
   cat KNOWN-RED.txt
-  ctest --test-dir build/release -R "^($(IFS='|'; echo "${KnownFailures[*]}"))\$" ||
-    true
+  ctest --test-dir build/release --output-on-failure \
+    -R "^($(IFS='|'; echo "${KnownFailures[*]}"))\$" || true
 fi
 ctest --test-dir build/release --output-on-failure "${Exclude[@]}"
 echo "--- demo"
