--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -1,5 +1,5 @@
-"""Clients send requests with bodies within the limits of the configuration.
-The platform ends a process that exceeds memoryMb."""
+"""The process of a machine is killed after it has acknowledged that its
+instance is gone. A heartbeat that the instance sent before arrives late."""
 
 import asyncio
 import os
@@ -10,18 +10,15 @@
 import harness  # noqa: E402
 
 HOST = "shop.example"
-LIMIT = 67108864
-BODY = int(os.environ.get("BODY", str(60 << 20)))
-SMALL = 24000
+LATE_S = 2.5
 
 
 async def scenario(world, trouble):
     record = world.record
     await world.put_config(harness.make_config(
-        3, [(HOST, "/lookup/", "pricebook", "safe", 1000, 500),
-            (HOST, "/send/", "payouts", "unsafe", 10000, 5000)],
-        ["pricebook", "payouts"], LIMIT))
-    services = ["pricebook", "payouts", "payouts"]
+        3, [(HOST, "/lookup/", "pricebook", "safe", 1000, 500)],
+        ["pricebook", "payouts"]))
+    services = ["pricebook", "pricebook", "payouts"]
     machines = [world.add_machine(f"sidecar-{number}", "midlands-a",
                                   world.ip(number), service)
                 for number, service in enumerate(services)]
@@ -30,62 +27,68 @@
     await world.watch_readiness(machines)
     if not await world.wait_ready(machines):
         return 2
+    instances = []
     for number, machine in enumerate(machines):
-        await harness.Instance(world, machine, machine.service,
-                               number + 1).start()
-    await asyncio.sleep(4)
+        instances.append(harness.Instance(world, machine, machine.service,
+                                          number + 1))
+        await instances[-1].start()
+    await asyncio.sleep(3)
 
-    ends = {machine.name: 0 for machine in machines}
-    peak = {machine.name: 0.0 for machine in machines}
+    tasks = set()
 
-    async def platform(machine):
-        """Ends the process when it exceeds its memory, and starts it again."""
+    async def clients():
         while True:
-            used = machine.resident_mb()
-            peak[machine.name] = max(peak[machine.name], used)
-            if used > harness.MEMORY_MB:
-                record.write(f"{machine.name} uses {used:.0f} MB, more than "
-                             f"{harness.MEMORY_MB}: killed")
-                machine.kill()
-                ends[machine.name] += 1
-            elif machine.process.poll() is not None:
-                record.write(f"{machine.name} ended by itself")
-                ends[machine.name] += 1
-            if machine.process.poll() is not None:
-                await asyncio.sleep(harness.RESTART_DELAY_S)
-                machine.start()
-            await asyncio.sleep(0.002)
+            task = asyncio.create_task(harness.request(
+                world, machines[2], "GET", HOST, "/lookup/x?work=50", 1000,
+                name="price-lookup"))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(0.05)
 
-    watchers = [asyncio.create_task(platform(machine)) for machine in machines]
+    load = asyncio.create_task(clients())
+    await asyncio.sleep(4)
 
-    async def lookups():
-        while True:
-            await harness.request(world, machines[1], "GET", HOST, "/lookup/x",
-                                  1000, name="price-lookup")
-            await asyncio.sleep(0.2)
+    leaving, machine = instances[0], machines[0]
+    leaving.beats.cancel()
+    late = leaving.heartbeat()
+    record.write(f"instance {leaving.id} sends its last heartbeat, which "
+                 f"arrives {LATE_S} s later: {late.decode()}")
+    sent = record.now()
+    body = b'{"born":%d}' % leaving.born
+    if not await leaving.send("instances.deregister", body):
+        return 2
+    acknowledged = record.now()
+    record.write(f"{machine.name} acknowledged that {leaving.id} is gone")
+    await asyncio.sleep(0.3)
+    if trouble:
+        record.write(f"the process of {machine.name} is killed")
+        machine.kill()
+        await asyncio.sleep(harness.RESTART_DELAY_S)
+        machine.start()
+        back = record.now()
+    else:
+        back = record.now()
+    await asyncio.sleep(max(0.0, sent + LATE_S - record.now()))
+    answer = await leaving.send("instances.heartbeat", late)
+    record.write(f"the late heartbeat arrives; answered with 2xx: {answer}")
+    # The instance serves on for some seconds and exits.
+    await asyncio.sleep(9)
+    load.cancel()
+    await asyncio.sleep(1)
 
-    background = asyncio.create_task(lookups())
-    body = bytes(BODY if trouble else SMALL)
-    answers = []
-    for _ in range(4):
-        for machine in machines[:2]:
-            while not machine.ready:
-                await asyncio.sleep(0.1)
-            _, answer = await harness.request(
-                world, machine, "POST", HOST, "/send/x", 10000, body,
-                name=f"payout-send body={len(body)}")
-            answers.append(answer.status or answer.error)
-            await asyncio.sleep(2)
-    background.cancel()
-    for watcher in watchers:
-        watcher.cancel()
-    over = sum(1 for count in ends.values() if count >= 3)
-    text = (f"ends of processes {ends}, peak MB "
-            f"{ {name: round(value) for name, value in peak.items()} }, "
-            f"answers {answers}")
+    after_limit = [moment for moment, _, instance in world.runs
+                   if instance is leaving and
+                   moment > acknowledged + harness.DRAIN_S]
+    in_touch = [moment for moment in after_limit
+                if moment > back + harness.STABLE_S]
+    text = (f"requests that reached the instance later than "
+            f"{harness.DRAIN_S:.0f} s after the acknowledgement: "
+            f"{len(after_limit)}; of these, later than "
+            f"{harness.STABLE_S:.0f} s after the start of its machine's "
+            f"process: {len(in_touch)}")
     record.write(text)
     print(text)
-    return 1 if over >= 2 else 0
+    return 1 if in_touch else 0
 
 
 harness.main(__file__, scenario)
