Record departures before they are acknowledged

Cause: the departure was known to that process alone. The class is an acknowledgement for what only one process knows, so a reported draining, a store that is away and the loss of a whole data centre had it too. Ruled out: the members alone (the process may be killed before the next datagram), a health check after each start (a probe each, and health answers may be false). Change: AnnouncementService acknowledges a departure once the store has recorded it, else 503; the members carry it, merged independently of the incarnation; a process that starts holds heartbeats back until it has listed the directory, or, with the store away, 1 s after the start. The key stands in the topic that each node lists once anyway. Why it works: no departure is acknowledged before the successor can read it, and none is read later than the first heartbeat is used.

--- a/Source/Core/Membership/AnnouncementFilter.cpp
+++ b/Source/Core/Membership/AnnouncementFilter.cpp
@@ -9,26 +9,40 @@
   const bool IsStale = IsSameIncarnation
                            ? HasLeft || Received.Sequence <= Sequence
                            : !Server.empty() && Received.StartTime <= StartTime;
-  const bool HasDeparted =
-      UnknownDeparture && UnknownDeparture->Server == Received.Server.Server &&
-      Received.StartTime <=
-          UnknownDeparture->StartTime.value_or(UnknownDeparture->ReceivedAt);
+  const bool HasDeparted = Departed &&
+                           Departed->Server == Received.Server.Server &&
+                           Received.StartTime <= Departed->LastStart;
   if (IsStale || HasDeparted)
     return Common::ResultCode::HeartbeatStale;
   Server = Received.Server.Server;
   StartTime = Received.StartTime;
   Sequence = Received.Sequence;
   HasLeft = Received.Server.Leaving;
+  if (HasLeft)
+    Departed = DepartedServer{Server, StartTime, Received.ReceivedAt};
   return Common::ResultCode::Ok;
 }
 
 bool AnnouncementFilter::handleDeparture(const Departure &Received) {
-  if (Received.Server != Server) {
-    UnknownDeparture = Received;
+  // A late departure of an earlier incarnation, or of an earlier server. Its
+  // announcements are stale in any case.
+  if (!Server.empty() && Received.StartTime && *Received.StartTime < StartTime)
     return false;
-  }
-  // A late departure of an earlier incarnation.
-  if (Received.StartTime && *Received.StartTime < StartTime)
+  const bool IsCurrent = Received.Server == Server;
+  if (IsCurrent && HasLeft)
+    return true;
+  Departed = DepartedServer{
+      Received.Server,
+      Received.StartTime.value_or(IsCurrent ? StartTime : Received.ReceivedAt),
+      Received.ReceivedAt};
+  HasLeft = HasLeft || IsCurrent;
+  return IsCurrent;
+}
+
+bool AnnouncementFilter::adoptDeparture(const DepartedServer &Earlier) {
+  if (!Departed)
+    Departed = Earlier;
+  if (HasLeft || Earlier.Server != Server || StartTime > Earlier.LastStart)
     return false;
   HasLeft = true;
   return true;
--- a/Source/Core/Membership/AnnouncementFilter.h
+++ b/Source/Core/Membership/AnnouncementFilter.h
@@ -20,6 +20,7 @@
   Common::WallTime StartTime;
   // Increases with each announcement of one incarnation.
   std::int64_t Sequence = 0;
+  Common::WallTime ReceivedAt;
 };
 
 // The message of a backend server that it is leaving.
@@ -41,14 +42,19 @@
   // Returns true if the departure ends the current incarnation of the server
   // beside this node.
   bool handleDeparture(const Departure &Received);
+  // Adopts a departure that an earlier process of this node accepted. Returns
+  // true if it ends the current incarnation.
+  bool adoptDeparture(const DepartedServer &Earlier);
+
+  // The last departure, of a known or unknown server.
+  const std::optional<DepartedServer> &departed() const { return Departed; }
 
 private:
   std::string Server;
   Common::WallTime StartTime;
   std::int64_t Sequence = -1;
   bool HasLeft = false;
-  // The last departure of a server that was not known.
-  std::optional<Departure> UnknownDeparture;
+  std::optional<DepartedServer> Departed;
 };
 
 } // namespace Membership
--- a/Source/Core/Membership/Datagram.cpp
+++ b/Source/Core/Membership/Datagram.cpp
@@ -9,6 +9,7 @@
 // Bytes for the field headers, lengths and integers of the encoded structs.
 constexpr std::size_t MemberOverhead = 64;
 constexpr std::size_t EndpointOverhead = 20;
+constexpr std::size_t DepartureOverhead = 32;
 constexpr std::size_t HeaderOverhead = 96;
 
 std::size_t bodyBytes(const DatagramBody &Body) {
@@ -37,6 +38,8 @@
                        Update.DataCentre.size() + Update.Address.size();
   for (const Endpoint &Server : Update.Endpoints)
     Result += EndpointOverhead + Server.Service.size() + Server.Server.size();
+  if (Update.Departed)
+    Result += DepartureOverhead + Update.Departed->Server.size();
   return Result;
 }
 
--- /dev/null
+++ b/Source/Core/Membership/DepartureRecorder.cpp
@@ -0,0 +1,44 @@
+#include "Membership/DepartureRecorder.h"
+
+#include <algorithm>
+
+namespace Membership {
+
+bool DepartureRecorder::request(RequestId Request,
+                                const DepartedServer &Departed) {
+  if (Recorded == Departed)
+    return true;
+  Requests.push_back({Request, Departed});
+  return false;
+}
+
+std::optional<DepartedServer> DepartureRecorder::next() {
+  if (Pending || Requests.empty())
+    return std::nullopt;
+  Pending = Requests.back().Departed;
+  return Pending;
+}
+
+std::vector<DepartureRecorder::Answer>
+DepartureRecorder::onRecorded(bool Succeeded) {
+  std::vector<Answer> Result;
+  if (!Pending)
+    return Result;
+  if (Succeeded)
+    Recorded = Pending;
+  for (const Waiting &Entry : Requests)
+    if (Entry.Departed == *Pending)
+      Result.push_back({Entry.Request, Succeeded});
+  std::erase_if(Requests, [this](const Waiting &Entry) {
+    return Entry.Departed == *Pending;
+  });
+  Pending.reset();
+  return Result;
+}
+
+void DepartureRecorder::adopt(const DepartedServer &Earlier) {
+  if (!Recorded)
+    Recorded = Earlier;
+}
+
+} // namespace Membership
--- a/Source/Core/Membership/MemberTable.cpp
+++ b/Source/Core/Membership/MemberTable.cpp
@@ -22,6 +22,15 @@
   }
 }
 
+// Returns true if the departure is later than the recorded one and replaces it.
+bool mergeDeparture(const std::optional<DepartedServer> &Update,
+                    std::optional<DepartedServer> &Recorded) {
+  if (!Update || (Recorded && Update->ReceivedAt <= Recorded->ReceivedAt))
+    return false;
+  Recorded = Update;
+  return true;
+}
+
 bool supersedes(const Member &Update, const Member &Recorded) {
   if (Update.Incarnation != Recorded.Incarnation)
     return Update.Incarnation > Recorded.Incarnation;
@@ -52,13 +61,18 @@
   Member &Recorded = Found->second.Info;
   const std::int64_t Version =
       std::max(Recorded.ConfigVersion, Update.ConfigVersion);
+  const bool HasNewDeparture =
+      mergeDeparture(Update.Departed, Recorded.Departed);
   const bool Newer = supersedes(Update, Recorded);
   if (Newer) {
+    const std::optional<DepartedServer> Departed = Recorded.Departed;
     Found->second = KnownMember{Update, Now};
-    ++Revision;
+    Recorded.Departed = Departed;
   }
-  Found->second.Info.ConfigVersion = Version;
-  return Newer;
+  Recorded.ConfigVersion = Version;
+  if (Newer || HasNewDeparture)
+    ++Revision;
+  return Newer || HasNewDeparture;
 }
 
 // Other nodes may still hold the state of an earlier process of this name, or a
@@ -67,11 +81,13 @@
   const bool Refute =
       Update.Incarnation > Self.Incarnation ||
       (Update.Incarnation == Self.Incarnation && Update.State > Self.State);
-  if (Refute) {
+  if (Refute)
     Self.Incarnation = Update.Incarnation + 1;
+  // An earlier process of this node accepted the departure.
+  const bool HasNewDeparture = mergeDeparture(Update.Departed, Self.Departed);
+  if (Refute || HasNewDeparture)
     ++Revision;
-  }
-  return Refute;
+  return Refute || HasNewDeparture;
 }
 
 void MemberTable::mergeConfigVersion(const std::string &Node,
@@ -133,6 +149,11 @@
   });
 }
 
+void MemberTable::recordDeparture(const DepartedServer &Departed) {
+  if (mergeDeparture(Departed, Self.Departed))
+    raiseIncarnation();
+}
+
 void MemberTable::leave() {
   raiseIncarnation();
   Self.State = Health::Left;
--- a/Source/Core/Membership/MemberTable.h
+++ b/Source/Core/Membership/MemberTable.h
@@ -38,6 +38,8 @@
 
   void announce(const Endpoint &Server);
   void withdraw(const std::string &Server);
+  // Records a departure of the backend server beside this node.
+  void recordDeparture(const DepartedServer &Departed);
   // Marks this node as leaving.
   void leave();
   // Raises this node's incarnation, so that its own state replaces what others
--- a/Source/Core/Membership/NodeDirectory.h
+++ b/Source/Core/Membership/NodeDirectory.h
@@ -2,6 +2,7 @@
 
 #include <concepts>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,19 +16,25 @@
   std::string Node;
   std::string DataCentre;
   SocketAddress MemberAddress;
+  // The last backend server that has left the node, if one was recorded.
+  std::optional<DepartedServer> Departed = {};
 
   bool operator==(const DirectoryEntry &) const = default;
 };
 
-// A directory in which nodes that know no members find each other.
+// A directory in which nodes that know no members find each other, and in which
+// a restarted node finds the last departure that its earlier process recorded.
 template <class D>
 concept NodeDirectory = requires(
-    D &Directory, const DirectoryEntry &Own,
+    D &Directory, const DirectoryEntry &Own, const DepartedServer &Departed,
     std::function<void(Common::ResultCode)> OnAnnounced,
     std::function<void(Common::ResultCode, std::vector<DirectoryEntry>)>
         OnListed) {
   // Replaces the previous announcement of the node.
   Directory.announce(Own, OnAnnounced);
+  // Replaces the previous departure of the node. Announcements leave it as it
+  // is.
+  Directory.recordDeparture(Own.Node, Departed, OnAnnounced);
   Directory.list(OnListed);
 };
 
--- a/Source/Core/Membership/Prober.cpp
+++ b/Source/Core/Membership/Prober.cpp
@@ -136,7 +136,8 @@
       // disseminated again.
       Digest = Table.digest();
     else
-      disseminate(Update);
+      // The recorded state may hold a departure that the update lacks.
+      disseminate(*Table.find(Update.Node));
   }
 }
 
@@ -352,6 +353,11 @@
   disseminateSelf();
 }
 
+void Prober::recordDeparture(const DepartedServer &Departed) {
+  Table.recordDeparture(Departed);
+  disseminateSelf();
+}
+
 void Prober::leave() {
   Table.leave();
   disseminateSelf();
--- a/Source/Core/Membership/Prober.h
+++ b/Source/Core/Membership/Prober.h
@@ -47,6 +47,7 @@
   void addSeeds(const BootstrapPeers &Peers, Common::SteadyTime Now);
   void announce(const Endpoint &Server);
   void withdraw(const std::string &Server);
+  void recordDeparture(const DepartedServer &Departed);
   void leave();
   void setConfigVersion(std::int64_t Version);
 
--- /dev/null
+++ b/Source/Core/Node/AnnouncementService.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include <deque>
+
+#include <spdlog/spdlog.h>
+
+#include "Kernel/Host.h"
+#include "Membership/AnnouncementFilter.h"
+#include "Membership/DepartureRecall.h"
+#include "Membership/DepartureRecorder.h"
+#include "Node/Messages.h"
+
+namespace Node {
+
+// Decides which announcements and departures of the backend server beside this
+// node are in force. A departure is acknowledged once the directory has
+// recorded it, so that it also binds a later process of this node. A new
+// process holds announcements back until it knows the recorded departure.
+template <Kernel::MessageSink<BackendMessage> Backend,
+          Kernel::MessageSink<MembersMessage> Members,
+          Kernel::MessageSink<DirectoryMessage> Directory,
+          Kernel::MessageSink<AnnouncementAnswered> Edge>
+class AnnouncementService {
+public:
+  using Message = AnnouncementMessage;
+
+  struct Sinks {
+    Backend ToBackend;
+    Members ToMembers;
+    Directory ToDirectory;
+    Edge ToEdge;
+  };
+
+  AnnouncementService(Kernel::Context Context, std::function<Sinks()> FindSinks)
+      : Task(Context.ServiceTask), FindSinks(std::move(FindSinks)),
+        Recall(now()) {}
+
+  void start() {
+    Targets = FindSinks();
+    awaitRecall();
+  }
+  void handle(Message Content) {
+    std::visit([this](auto &Event) { this->onMessage(Event); }, Content);
+  }
+  void stop() {}
+
+private:
+  static constexpr Common::Millis TickInterval{100};
+  // Announcements that wait for the recall. One that is dropped is repeated by
+  // the server.
+  static constexpr std::size_t MaxHeldBack = 16;
+
+  static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
+
+  void onMessage(AnnouncementArrived &Event) {
+    const Membership::Announcement &Received = Event.Received;
+    if (!IsRecalled && !Received.Server.Leaving) {
+      if (HeldBack.size() < MaxHeldBack)
+        HeldBack.push_back(Received);
+      answer(Event.Exchange, Common::ResultCode::Ok);
+      return;
+    }
+    use(Received);
+    if (Received.Server.Leaving)
+      acknowledgeDeparture(Event.Exchange);
+    else
+      answer(Event.Exchange, Common::ResultCode::Ok);
+  }
+
+  void onMessage(DepartureArrived &Event) {
+    const Membership::Departure &Received = Event.Received;
+    const bool IsCurrent = Filter.handleDeparture(Received);
+    spdlog::info("event=server-left server={} current={} start-time-sent={}",
+                 Received.Server, IsCurrent, Received.StartTime.has_value());
+    if (IsCurrent)
+      Targets.ToBackend.post(ServerLeft{Received.Server});
+    // Sent before the departure is recorded, so that the other nodes know it
+    // when it is acknowledged.
+    Targets.ToMembers.post(ServerLeft{Received.Server, Filter.departed()});
+    acknowledgeDeparture(Event.Exchange);
+  }
+
+  void onMessage(DepartureRecorded &Event) {
+    const bool Succeeded = Event.Code == Common::ResultCode::Ok;
+    if (!Succeeded)
+      spdlog::warn("event=departure-not-recorded server={} code={}",
+                   Event.Departed.Server, Common::resultCodeNumber(Event.Code));
+    for (const auto &Answer : Recorder.onRecorded(Succeeded))
+      answer(Answer.Request, Event.Code);
+    recordNext();
+  }
+
+  void onMessage(DepartureListed &Event) {
+    if (Event.Departed) {
+      Recorder.adopt(*Event.Departed);
+      adopt(*Event.Departed, "directory");
+    }
+    Recall.onListed();
+    finishRecall();
+  }
+
+  void onMessage(DepartureReported &Event) {
+    adopt(Event.Departed, "other nodes");
+  }
+
+  void onMessage(MembersChanged &Event) {
+    Recall.setLiveMembers(Event.Alive->size());
+  }
+
+  // Uses an announcement that the recall does not hold back.
+  void use(const Membership::Announcement &Received) {
+    const Common::ResultCode Result = Filter.handleAnnouncement(Received);
+    if (Result != Common::ResultCode::Ok) {
+      spdlog::warn("event=heartbeat-ignored server={} sequence={} code={}",
+                   Received.Server.Server, Received.Sequence,
+                   Common::resultCodeNumber(Result));
+      return;
+    }
+    ServerAnnounced Announced{Received.Server, Received.Address};
+    if (Received.Server.Leaving)
+      Announced.Departed = Filter.departed();
+    Targets.ToBackend.post(Announced);
+    Targets.ToMembers.post(Announced);
+  }
+
+  // Acknowledges that the server leaves, once this is recorded.
+  void acknowledgeDeparture(Http::ExchangeId Exchange) {
+    if (!Filter.departed() || Recorder.request(Exchange, *Filter.departed()))
+      answer(Exchange, Common::ResultCode::Ok);
+    else
+      recordNext();
+  }
+
+  void recordNext() {
+    if (const auto Departed = Recorder.next())
+      Targets.ToDirectory.post(RecordDeparture{*Departed});
+  }
+
+  void adopt(const Membership::DepartedServer &Departed,
+             const std::string &Source) {
+    const bool IsCurrent = Filter.adoptDeparture(Departed);
+    spdlog::info("event=departure-recalled server={} source=\"{}\" current={}",
+                 Departed.Server, Source, IsCurrent);
+    if (!IsCurrent)
+      return;
+    Targets.ToBackend.post(ServerLeft{Departed.Server});
+    Targets.ToMembers.post(ServerLeft{Departed.Server, Departed});
+  }
+
+  void awaitRecall() {
+    finishRecall();
+    if (!IsRecalled)
+      Clock.after(TickInterval, [this] { awaitRecall(); });
+  }
+
+  void finishRecall() {
+    if (IsRecalled || !Recall.isComplete(now()))
+      return;
+    IsRecalled = true;
+    spdlog::info("event=recall-complete held-back={}", HeldBack.size());
+    for (const Membership::Announcement &Received : std::exchange(HeldBack, {}))
+      use(Received);
+  }
+
+  void answer(Http::ExchangeId Exchange, Common::ResultCode Code) {
+    Targets.ToEdge.post(AnnouncementAnswered{Exchange, Code});
+  }
+
+  Kernel::Task &Task;
+  Kernel::Timers Clock{Task};
+  std::function<Sinks()> FindSinks;
+  Sinks Targets;
+  Membership::AnnouncementFilter Filter;
+  Membership::DepartureRecorder Recorder;
+  Membership::DepartureRecall Recall;
+  bool IsRecalled = false;
+  std::deque<Membership::Announcement> HeldBack;
+};
+
+} // namespace Node
--- a/Source/Core/Node/DirectoryService.h
+++ b/Source/Core/Node/DirectoryService.h
@@ -11,18 +11,25 @@
 
 namespace Node {
 
-// Announces this node in a directory and finds its first peers there.
+// Announces this node in a directory, finds its first peers there, and keeps
+// the departures of the backend server beside this node there.
 template <Membership::NodeDirectory Directory,
-          Kernel::MessageSink<MembersMessage> Members>
+          Kernel::MessageSink<MembersMessage> Members,
+          Kernel::MessageSink<AnnouncementMessage> Announcements>
 class DirectoryService {
 public:
-  using Message = MembersChanged;
+  using Message = DirectoryMessage;
+
+  struct Sinks {
+    Members ToMembers;
+    Announcements ToAnnouncements;
+  };
 
   DirectoryService(Kernel::Context Context, const NodeSettings &Settings,
-                   std::function<Members()> FindMembers,
+                   std::function<Sinks()> FindSinks,
                    std::unique_ptr<Directory> DirectoryClient,
                    std::uint64_t Seed)
-      : Task(Context.ServiceTask), FindMembers(std::move(FindMembers)),
+      : Task(Context.ServiceTask), FindSinks(std::move(FindSinks)),
         DirectoryClient(std::move(DirectoryClient)),
         Bootstrap(Settings.DataCentre, Seed), Self{Settings.Name,
                                                    Settings.DataCentre,
@@ -30,11 +37,11 @@
                                                     Settings.MemberPort}} {}
 
   void start() {
-    ToMembers = FindMembers();
+    Targets = FindSinks();
     tick();
   }
   void handle(const Message &Content) {
-    Bootstrap.setLiveMembers(Content.Alive->size());
+    std::visit([this](const auto &Event) { this->onMessage(Event); }, Content);
   }
   void stop() { DirectoryClient.reset(); }
 
@@ -43,6 +50,18 @@
 
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
 
+  void onMessage(const MembersChanged &Event) {
+    Bootstrap.setLiveMembers(Event.Alive->size());
+  }
+
+  void onMessage(const RecordDeparture &Event) {
+    DirectoryClient->recordDeparture(
+        Self.Node, Event.Departed,
+        [this, Departed = Event.Departed](Common::ResultCode Code) {
+          Targets.ToAnnouncements.post(DepartureRecorded{Departed, Code});
+        });
+  }
+
   void tick() {
     Clock.after(TickInterval, [this] { tick(); });
     const Membership::DirectoryStep Step = Bootstrap.nextStep(now());
@@ -69,20 +88,33 @@
           if (!Succeeded)
             spdlog::warn("dependency=directory state=lost step=list code={}",
                          Common::resultCodeNumber(Code));
-          std::erase(Found, Self);
+          else
+            reportOwnDeparture(Found);
+          std::erase_if(Found, [this](const Membership::DirectoryEntry &Entry) {
+            return Entry.Node == Self.Node;
+          });
           auto Seeds = Bootstrap.onListed(Succeeded, Found, now());
           if (Seeds.empty())
             return;
           spdlog::info("event=seeds-found local={} remote={}",
                        Seeds.Local.size(), Seeds.Remote.size());
-          ToMembers.post(SeedsFound{std::move(Seeds)});
+          Targets.ToMembers.post(SeedsFound{std::move(Seeds)});
         });
   }
 
+  void
+  reportOwnDeparture(const std::vector<Membership::DirectoryEntry> &Found) {
+    DepartureListed Listed;
+    for (const Membership::DirectoryEntry &Entry : Found)
+      if (Entry.Node == Self.Node)
+        Listed.Departed = Entry.Departed;
+    Targets.ToAnnouncements.post(Listed);
+  }
+
   Kernel::Task &Task;
   Kernel::Timers Clock{Task};
-  std::function<Members()> FindMembers;
-  Members ToMembers;
+  std::function<Sinks()> FindSinks;
+  Sinks Targets;
   std::unique_ptr<Directory> DirectoryClient;
   Membership::DirectoryBootstrap Bootstrap;
   Membership::DirectoryEntry Self;
--- a/Source/Core/Node/MembersService.h
+++ b/Source/Core/Node/MembersService.h
@@ -22,7 +22,9 @@
 template <Kernel::MessageSink<IngressMessage> Ingress,
           Kernel::MessageSink<MembersChanged> Config,
           Kernel::MessageSink<MembersChanged> Claims,
-          Kernel::MessageSink<AdminMessage> Admin>
+          Kernel::MessageSink<AdminMessage> Admin,
+          Kernel::MessageSink<AnnouncementMessage> Announcements =
+              Kernel::Address<AnnouncementMessage>>
 class MembersService {
 public:
   using Message = MembersMessage;
@@ -32,6 +34,8 @@
     Config ToConfig;
     Claims ToClaims;
     Admin ToAdmin;
+    // Closed if departures do not outlive the process of this node.
+    Announcements ToAnnouncements = {};
   };
 
   MembersService(Kernel::Context Context, const NodeSettings &Settings,
@@ -111,11 +115,23 @@
     spdlog::info("event=server-announced server={} service={}",
                  Event.Server.Server, Event.Server.Service);
     Prober.announce(Event.Server);
+    disseminateDeparture(Event.Departed);
   }
 
   void onMessage(ServerLeft &Event) {
     if (const auto Left = Lease.release(Event.Server))
       withdraw(*Left, "left");
+    disseminateDeparture(Event.Departed);
+  }
+
+  // Sends the departure at once: this process may end before the next tick.
+  void disseminateDeparture(
+      const std::optional<Membership::DepartedServer> &Departed) {
+    if (!Departed || Prober.table().self().Departed == Departed)
+      return;
+    PublishedDeparture = Departed;
+    Prober.recordDeparture(*Departed);
+    send(Prober.tick(now()));
   }
 
   void onMessage(SeedsFound &Event) { Prober.addSeeds(Event.Seeds, now()); }
@@ -174,6 +190,16 @@
     PublishedRevision = Prober.table().revision();
     publishMembers();
     publishServers();
+    publishDeparture();
+  }
+
+  // Reports a departure that other nodes know of an earlier process.
+  void publishDeparture() {
+    const auto &Departed = Prober.table().self().Departed;
+    if (!Departed || PublishedDeparture == Departed)
+      return;
+    PublishedDeparture = Departed;
+    Targets.ToAnnouncements.post(DepartureReported{*Departed});
   }
 
   void publishMembers() {
@@ -187,6 +213,7 @@
     PublishedMembers = Alive;
     Targets.ToConfig.post(MembersChanged{PublishedMembers});
     Targets.ToClaims.post(MembersChanged{PublishedMembers});
+    Targets.ToAnnouncements.post(MembersChanged{PublishedMembers});
   }
 
   void publishServers() {
@@ -214,6 +241,7 @@
   std::uint64_t Ticks = 0;
   std::optional<std::uint64_t> PublishedRevision;
   Routing::ServerViewPtr PublishedServers;
+  std::optional<Membership::DepartedServer> PublishedDeparture;
   std::size_t PublishedNodeCount = 0;
   std::shared_ptr<const std::vector<Membership::Member>> PublishedMembers;
 };
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -11,6 +11,7 @@
 
 #include "Config/AcceptedHistory.h"
 #include "Http/Server.h"
+#include "Membership/AnnouncementFilter.h"
 #include "Membership/Datagram.h"
 #include "Membership/Member.h"
 #include "Membership/Traffic.h"
@@ -32,6 +33,7 @@
 inline const std::string MetricsName = "metrics";
 inline const std::string ClaimsName = "claims";
 inline const std::string AdminName = "admin";
+inline const std::string AnnouncementsName = "announcements";
 
 // Identifies the connection on which a call arrived. LocalOrigin stands for
 // the ingress of this node.
@@ -116,9 +118,13 @@
   Membership::Endpoint Server;
   // "IP:port" of the server's HTTP socket.
   std::string Address;
+  // The departure that the announcement of a leaving server stands for.
+  std::optional<Membership::DepartedServer> Departed = {};
 };
 struct ServerLeft {
   std::string Server;
+  // Empty if departures do not outlive the process of this node.
+  std::optional<Membership::DepartedServer> Departed = {};
 };
 using BackendMessage = std::variant<RequestArrived, CancelArrived, OriginLost,
                                     ServerAnnounced, ServerLeft>;
@@ -139,6 +145,46 @@
   std::shared_ptr<const std::vector<Membership::Member>> Alive;
 };
 
+// Records the departure in the directory. The answer is DepartureRecorded.
+struct RecordDeparture {
+  Membership::DepartedServer Departed;
+};
+using DirectoryMessage = std::variant<MembersChanged, RecordDeparture>;
+
+// Messages of the backend server beside this node. Each is answered with
+// AnnouncementAnswered for its exchange.
+struct AnnouncementArrived {
+  Http::ExchangeId Exchange = 0;
+  Membership::Announcement Received;
+};
+struct DepartureArrived {
+  Http::ExchangeId Exchange = 0;
+  Membership::Departure Received;
+};
+struct DepartureRecorded {
+  Membership::DepartedServer Departed;
+  Common::ResultCode Code = Common::ResultCode::Ok;
+};
+// The departure that the directory holds for this node, if there is one.
+struct DepartureListed {
+  std::optional<Membership::DepartedServer> Departed;
+};
+// A departure that an earlier process of this node accepted, as known to other
+// nodes.
+struct DepartureReported {
+  Membership::DepartedServer Departed;
+};
+using AnnouncementMessage =
+    std::variant<AnnouncementArrived, DepartureArrived, DepartureRecorded,
+                 DepartureListed, DepartureReported, MembersChanged>;
+
+// The outcome of an announcement or departure. A departure that could not be
+// recorded is not acknowledged.
+struct AnnouncementAnswered {
+  Http::ExchangeId Exchange = 0;
+  Common::ResultCode Code = Common::ResultCode::Ok;
+};
+
 // A message from the same service on another node. To answer it on the
 // connection on which it arrived, send a ReplyEnvelope with its origin.
 struct EnvelopeArrived {
--- a/Source/Core/Wire/Generated/Zinnia_types.cpp
+++ b/Source/Core/Wire/Generated/Zinnia_types.cpp
@@ -2078,6 +2078,138 @@
 }
 
 
+DepartedServerState::~DepartedServerState() noexcept {
+}
+
+
+void DepartedServerState::__set_Server(const std::string& val) {
+  this->Server = val;
+}
+
+void DepartedServerState::__set_LastStartMicros(const int64_t val) {
+  this->LastStartMicros = val;
+}
+
+void DepartedServerState::__set_ReceivedAtMicros(const int64_t val) {
+  this->ReceivedAtMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const DepartedServerState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DepartedServerState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Server);
+          this->__isset.Server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->LastStartMicros);
+          this->__isset.LastStartMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ReceivedAtMicros);
+          this->__isset.ReceivedAtMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DepartedServerState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DepartedServerState");
+
+  xfer += oprot->writeFieldBegin("Server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("LastStartMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->LastStartMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ReceivedAtMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ReceivedAtMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DepartedServerState &a, DepartedServerState &b) {
+  using ::std::swap;
+  swap(a.Server, b.Server);
+  swap(a.LastStartMicros, b.LastStartMicros);
+  swap(a.ReceivedAtMicros, b.ReceivedAtMicros);
+  swap(a.__isset, b.__isset);
+}
+
+DepartedServerState::DepartedServerState(const DepartedServerState& other36) {
+  Server = other36.Server;
+  LastStartMicros = other36.LastStartMicros;
+  ReceivedAtMicros = other36.ReceivedAtMicros;
+  __isset = other36.__isset;
+}
+DepartedServerState& DepartedServerState::operator=(const DepartedServerState& other37) {
+  Server = other37.Server;
+  LastStartMicros = other37.LastStartMicros;
+  ReceivedAtMicros = other37.ReceivedAtMicros;
+  __isset = other37.__isset;
+  return *this;
+}
+void DepartedServerState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DepartedServerState(";
+  out << "Server=" << to_string(Server);
+  out << ", " << "LastStartMicros=" << to_string(LastStartMicros);
+  out << ", " << "ReceivedAtMicros=" << to_string(ReceivedAtMicros);
+  out << ")";
+}
+
+
 MemberState::~MemberState() noexcept {
 }
 
@@ -2121,6 +2253,11 @@
 void MemberState::__set_ConfigVersion(const int64_t val) {
   this->ConfigVersion = val;
 }
+
+void MemberState::__set_Departed(const DepartedServerState& val) {
+  this->Departed = val;
+__isset.Departed = true;
+}
 std::ostream& operator<<(std::ostream& out, const MemberState& obj)
 {
   obj.printTo(out);
@@ -2217,14 +2354,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Endpoints.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->Endpoints.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->Endpoints.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->Endpoints[_i40].read(iprot);
+              xfer += this->Endpoints[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2241,6 +2378,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Departed.read(iprot);
+          this->__isset.Departed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2293,10 +2438,10 @@
   xfer += oprot->writeFieldBegin("Endpoints", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Endpoints.size()));
-    std::vector<EndpointState> ::const_iterator _iter41;
-    for (_iter41 = this->Endpoints.begin(); _iter41 != this->Endpoints.end(); ++_iter41)
+    std::vector<EndpointState> ::const_iterator _iter43;
+    for (_iter43 = this->Endpoints.begin(); _iter43 != this->Endpoints.end(); ++_iter43)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2306,6 +2451,11 @@
   xfer += oprot->writeI64(this->ConfigVersion);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.Departed) {
+    xfer += oprot->writeFieldBegin("Departed", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->Departed.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2323,34 +2473,37 @@
   swap(a.Health, b.Health);
   swap(a.Endpoints, b.Endpoints);
   swap(a.ConfigVersion, b.ConfigVersion);
+  swap(a.Departed, b.Departed);
   swap(a.__isset, b.__isset);
 }
 
-MemberState::MemberState(const MemberState& other42) {
-  Node = other42.Node;
-  DataCentre = other42.DataCentre;
-  Address = other42.Address;
-  PeerPort = other42.PeerPort;
-  MemberPort = other42.MemberPort;
-  ControlPort = other42.ControlPort;
-  Incarnation = other42.Incarnation;
-  Health = other42.Health;
-  Endpoints = other42.Endpoints;
-  ConfigVersion = other42.ConfigVersion;
-  __isset = other42.__isset;
-}
-MemberState& MemberState::operator=(const MemberState& other43) {
-  Node = other43.Node;
-  DataCentre = other43.DataCentre;
-  Address = other43.Address;
-  PeerPort = other43.PeerPort;
-  MemberPort = other43.MemberPort;
-  ControlPort = other43.ControlPort;
-  Incarnation = other43.Incarnation;
-  Health = other43.Health;
-  Endpoints = other43.Endpoints;
-  ConfigVersion = other43.ConfigVersion;
-  __isset = other43.__isset;
+MemberState::MemberState(const MemberState& other44) {
+  Node = other44.Node;
+  DataCentre = other44.DataCentre;
+  Address = other44.Address;
+  PeerPort = other44.PeerPort;
+  MemberPort = other44.MemberPort;
+  ControlPort = other44.ControlPort;
+  Incarnation = other44.Incarnation;
+  Health = other44.Health;
+  Endpoints = other44.Endpoints;
+  ConfigVersion = other44.ConfigVersion;
+  Departed = other44.Departed;
+  __isset = other44.__isset;
+}
+MemberState& MemberState::operator=(const MemberState& other45) {
+  Node = other45.Node;
+  DataCentre = other45.DataCentre;
+  Address = other45.Address;
+  PeerPort = other45.PeerPort;
+  MemberPort = other45.MemberPort;
+  ControlPort = other45.ControlPort;
+  Incarnation = other45.Incarnation;
+  Health = other45.Health;
+  Endpoints = other45.Endpoints;
+  ConfigVersion = other45.ConfigVersion;
+  Departed = other45.Departed;
+  __isset = other45.__isset;
   return *this;
 }
 void MemberState::printTo(std::ostream& out) const {
@@ -2366,6 +2519,7 @@
   out << ", " << "Health=" << to_string(Health);
   out << ", " << "Endpoints=" << to_string(Endpoints);
   out << ", " << "ConfigVersion=" << to_string(ConfigVersion);
+  out << ", " << "Departed="; (__isset.Departed ? (out << to_string(Departed)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Zinnia_types.h
+++ b/Source/Core/Wire/Generated/Zinnia_types.h
@@ -41,6 +41,8 @@
 
 class EndpointState;
 
+class DepartedServerState;
+
 class MemberState;
 
 typedef struct _Hello__isset {
@@ -858,8 +860,65 @@
 
 std::ostream& operator<<(std::ostream& out, const EndpointState& obj);
 
+typedef struct _DepartedServerState__isset {
+  _DepartedServerState__isset() : Server(false), LastStartMicros(false), ReceivedAtMicros(false) {}
+  bool Server :1;
+  bool LastStartMicros :1;
+  bool ReceivedAtMicros :1;
+} _DepartedServerState__isset;
+
+class DepartedServerState : public virtual ::apache::thrift::TBase {
+ public:
+
+  DepartedServerState(const DepartedServerState&);
+  DepartedServerState& operator=(const DepartedServerState&);
+  DepartedServerState() noexcept
+                      : Server(),
+                        LastStartMicros(0),
+                        ReceivedAtMicros(0) {
+  }
+
+  virtual ~DepartedServerState() noexcept;
+  std::string Server;
+  int64_t LastStartMicros;
+  int64_t ReceivedAtMicros;
+
+  _DepartedServerState__isset __isset;
+
+  void __set_Server(const std::string& val);
+
+  void __set_LastStartMicros(const int64_t val);
+
+  void __set_ReceivedAtMicros(const int64_t val);
+
+  bool operator == (const DepartedServerState & rhs) const
+  {
+    if (!(Server == rhs.Server))
+      return false;
+    if (!(LastStartMicros == rhs.LastStartMicros))
+      return false;
+    if (!(ReceivedAtMicros == rhs.ReceivedAtMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const DepartedServerState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DepartedServerState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DepartedServerState &a, DepartedServerState &b);
+
+std::ostream& operator<<(std::ostream& out, const DepartedServerState& obj);
+
 typedef struct _MemberState__isset {
-  _MemberState__isset() : Node(false), DataCentre(false), Address(false), PeerPort(false), MemberPort(false), ControlPort(false), Incarnation(false), Health(false), Endpoints(false), ConfigVersion(false) {}
+  _MemberState__isset() : Node(false), DataCentre(false), Address(false), PeerPort(false), MemberPort(false), ControlPort(false), Incarnation(false), Health(false), Endpoints(false), ConfigVersion(false), Departed(false) {}
   bool Node :1;
   bool DataCentre :1;
   bool Address :1;
@@ -870,6 +929,7 @@
   bool Health :1;
   bool Endpoints :1;
   bool ConfigVersion :1;
+  bool Departed :1;
 } _MemberState__isset;
 
 class MemberState : public virtual ::apache::thrift::TBase {
@@ -900,6 +960,7 @@
   int32_t Health;
   std::vector<EndpointState>  Endpoints;
   int64_t ConfigVersion;
+  DepartedServerState Departed;
 
   _MemberState__isset __isset;
 
@@ -923,6 +984,8 @@
 
   void __set_ConfigVersion(const int64_t val);
 
+  void __set_Departed(const DepartedServerState& val);
+
   bool operator == (const MemberState & rhs) const
   {
     if (!(Node == rhs.Node))
@@ -945,6 +1008,10 @@
       return false;
     if (!(ConfigVersion == rhs.ConfigVersion))
       return false;
+    if (__isset.Departed != rhs.__isset.Departed)
+      return false;
+    else if (__isset.Departed && !(Departed == rhs.Departed))
+      return false;
     return true;
   }
   bool operator != (const MemberState &rhs) const {
--- a/Source/Core/Wire/MembersCodec.cpp
+++ b/Source/Core/Wire/MembersCodec.cpp
@@ -11,6 +11,20 @@
 using Common::ResultCode;
 using namespace Membership;
 
+std::int64_t toMicros(Common::WallTime Time) {
+  return std::chrono::duration_cast<Common::Micros>(Time.time_since_epoch())
+      .count();
+}
+
+// Throws FrameMalformed if WallTime cannot hold the time.
+Common::WallTime fromMicros(std::int64_t Micros) {
+  constexpr auto Max = std::chrono::duration_cast<Common::Micros>(
+      Common::WallTime::duration::max());
+  if (Micros < 0 || Micros > Max.count())
+    throw Error(ResultCode::FrameMalformed, "time is out of range");
+  return Common::WallTime(Common::Micros(Micros));
+}
+
 Generated::MemberState toWire(const Member &From) {
   Generated::MemberState Result;
   Result.Node = From.Node;
@@ -30,6 +44,13 @@
     Part.Leaving = Source.Leaving;
     Result.Endpoints.push_back(std::move(Part));
   }
+  if (From.Departed) {
+    Generated::DepartedServerState Part;
+    Part.Server = From.Departed->Server;
+    Part.LastStartMicros = toMicros(From.Departed->LastStart);
+    Part.ReceivedAtMicros = toMicros(From.Departed->ReceivedAt);
+    Result.__set_Departed(Part);
+  }
   return Result;
 }
 
@@ -50,6 +71,10 @@
   for (const Generated::EndpointState &Part : From.Endpoints)
     Result.Endpoints.push_back(
         {Part.Service, Part.Server, Part.Slots, Part.Leaving});
+  if (From.__isset.Departed)
+    Result.Departed = DepartedServer{
+        From.Departed.Server, fromMicros(From.Departed.LastStartMicros),
+        fromMicros(From.Departed.ReceivedAtMicros)};
   return Result;
 }
 
--- a/Source/Core/Wire/Zinnia.thrift
+++ b/Source/Core/Wire/Zinnia.thrift
@@ -101,6 +101,12 @@
   4: bool Leaving,
 }
 
+struct DepartedServerState {
+  1: string Server,
+  2: i64 LastStartMicros,
+  3: i64 ReceivedAtMicros,
+}
+
 struct MemberState {
   1: string Node,
   2: string DataCentre,
@@ -112,4 +118,5 @@
   8: i32 Health,
   9: list<EndpointState> Endpoints,
   10: i64 ConfigVersion,
+  11: optional DepartedServerState Departed,
 }
--- a/Source/UnitTests/Membership/MemberTableTests.cpp
+++ b/Source/UnitTests/Membership/MemberTableTests.cpp
@@ -70,6 +70,30 @@
   BOOST_TEST(Table.self().Incarnation == 10);
 }
 
+// Guards against a departure that is forgotten when the node beside the server
+// restarts: the new process has a higher incarnation and knows of no departure.
+BOOST_AUTO_TEST_CASE(KeepsADepartureOverARestartOfItsNode) {
+  const DepartedServer Departed{"server-b", Common::WallTime(Millis(5)),
+                                Common::WallTime(Millis(20))};
+  Member Earlier = member("b", 1);
+  Earlier.Departed = Departed;
+  MemberTable Table(Member{});
+  Table.merge(Earlier, Start);
+  BOOST_TEST(Table.merge(member("b", 2), Start));
+  BOOST_TEST((Table.find("b")->Departed == Departed));
+  // The new process learns of it, also from a record of its own incarnation.
+  MemberTable Restarted(member("b", 2));
+  BOOST_TEST(Restarted.merge(*Table.find("b"), Start));
+  BOOST_TEST((Restarted.self().Departed == Departed));
+  BOOST_TEST(!Restarted.merge(*Table.find("b"), Start));
+  // A node that hears of it only from the earlier process keeps it as well.
+  MemberTable Other(Member{});
+  Other.merge(member("b", 2), Start);
+  BOOST_TEST(Other.merge(Earlier, Start));
+  BOOST_TEST((Other.find("b")->Departed == Departed));
+  BOOST_TEST(Other.find("b")->Incarnation == 2);
+}
+
 BOOST_AUTO_TEST_CASE(RefutesASuspicionOfItself) {
   MemberTable Table(member("a", 5));
   Member Suspected = member("a", 5);
