Refuse calls that may outlast a planned stop

Callers that used an open connection late in the grace of a planned stop, in calm, got no answer: their requests were passed on and cut when the process ended, unsafe ones too. Cause: how long calls are taken and how long the process drains did not know of the time limit of a call. With 3 s, those taken from 2.5 s on could be cut at 5.5 s. Change: the kernel tells a draining service when the host stops, and the dispatcher refuses a call at once, as not run, whose time limit reaches beyond that. Why it works: what is accepted has ended by itself, at the latest at its time limit, before the sockets are closed. Tests, which need the new functions: IngressServices/PlannedStopAccepts..., Dispatchers/RefusesCallsThatMayOutlast..., Hosts/TellsDrainingServices...

--- a/Source/Core/Kernel/Host.cpp
+++ b/Source/Core/Kernel/Host.cpp
@@ -29,7 +29,7 @@
   Task *Owner;
   std::vector<std::string> Dependencies;
   std::function<void()> Start;
-  std::function<void(std::function<void()>)> Drain;
+  std::function<void(std::function<void()>, Common::SteadyTime)> Drain;
   std::function<void()> Stop;
 };
 
@@ -91,8 +91,8 @@
     ServiceEntry &Entry = *ServiceEntries[Index];
     auto Drained = std::make_shared<std::promise<void>>();
     std::future<void> Finished = Drained->get_future();
-    Entry.Owner->post([&Entry, Drained] {
-      Entry.Drain([Drained] { Drained->set_value(); });
+    Entry.Owner->post([&Entry, Drained, Deadline] {
+      Entry.Drain([Drained] { Drained->set_value(); }, Deadline);
     });
     if (Finished.wait_until(Deadline) != std::future_status::ready)
       spdlog::warn("service {} did not drain before the shutdown timeout",
--- a/Source/Core/Kernel/Host.h
+++ b/Source/Core/Kernel/Host.h
@@ -34,6 +34,15 @@
   Instance.drain(std::move(Done));
 };
 
+// A draining service that has to know when the host stops, whether or not the
+// services have drained by then.
+template <class S>
+concept DeadlineDrainingService = requires(S &Instance,
+                                           std::function<void()> Done,
+                                           Common::SteadyTime Deadline) {
+  Instance.drain(std::move(Done), Deadline);
+};
+
 // Runs the tasks and their services. Services start after their dependencies
 // and are drained and stopped in reverse order.
 class Host {
@@ -95,7 +104,7 @@
 private:
   struct ServiceHooks {
     std::function<void()> Start;
-    std::function<void(std::function<void()>)> Drain;
+    std::function<void(std::function<void()>, Common::SteadyTime)> Drain;
     std::function<void()> Stop;
   };
 
@@ -131,8 +140,11 @@
     for (; QueuedCount > 0; --QueuedCount)
       Owner.post([Inbox] { Inbox->deliverOne(); });
   };
-  Hooks.Drain = [Instance](std::function<void()> Done) {
-    if constexpr (DrainingService<S>)
+  Hooks.Drain = [Instance](std::function<void()> Done,
+                           [[maybe_unused]] Common::SteadyTime Deadline) {
+    if constexpr (DeadlineDrainingService<S>)
+      (*Instance)->drain(std::move(Done), Deadline);
+    else if constexpr (DrainingService<S>)
       (*Instance)->drain(std::move(Done));
     else
       Done();
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -73,8 +73,9 @@
 
   // Answers every open call before the node stops. New calls are still accepted
   // for ServeOnLimit, since some callers have not yet noticed that the node
-  // leaves.
-  void drain(std::function<void()> Done) {
+  // leaves, unless they may be open for longer than the node runs.
+  void drain(std::function<void()> Done, Common::SteadyTime Deadline) {
+    Calls.stopAt(Deadline - WriteOutTime);
     Listener->drainConnections();
     OnDrained = std::move(Done);
     if (Settings.ServeOnLimit.count() == 0)
@@ -95,6 +96,8 @@
     std::string Kind;
   };
 
+  // Leaves the sockets time to write out the last answers.
+  static constexpr Common::Millis WriteOutTime{200};
   static constexpr std::size_t MaxBufferedSamples = 256;
   static constexpr Common::Millis SampleInterval{250};
   // How long after the deadline the decision on a claim may arrive before the
@@ -329,8 +332,7 @@
   void finishDrainIfIdle() {
     if (!OnDrained || !Draining || Calls.openCalls() > 0 || Pending.size() > 0)
       return;
-    // Leaves the sockets time to write out the last answers.
-    Clock.after(Common::Millis(200), std::exchange(OnDrained, nullptr));
+    Clock.after(WriteOutTime, std::exchange(OnDrained, nullptr));
   }
 
   Kernel::Task &Task;
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -96,6 +96,10 @@
     Unreachable = std::move(DataCentres);
   }
 
+  // Refuses all calls from now on that may still be open at Time, because this
+  // process stops then.
+  void stopAt(Common::SteadyTime Time) { StopsAt = Time; }
+
   DispatchActions startCall(CallStart &&Start, Common::SteadyTime Now);
   // Ignores a reply to an attempt that is no longer open.
   DispatchActions handleReply(const CallReply &Reply, Common::SteadyTime Now);
@@ -238,6 +242,7 @@
   Config::ObjectSetPtr Set;
   ServerViewPtr Servers = std::make_shared<const ServerView>();
   std::set<std::string> Unreachable;
+  std::optional<Common::SteadyTime> StopsAt;
   std::unordered_map<CallId, OpenCall> Calls;
   std::unordered_map<AttemptId, OpenAttempt> Attempts;
   std::unordered_map<NodeAddress, std::set<AttemptId>> AttemptsByNode;
@@ -324,6 +329,8 @@
                           Recent.isFresh(Now, QuantileLifetime);
   if (Timeout <= Common::Micros(0) || IsTooShort)
     return Common::ResultCode::DeadlineTooClose;
+  if (StopsAt && Now + Timeout > *StopsAt)
+    return Common::ResultCode::Draining;
   return std::nullopt;
 }
 
--- a/Source/UnitTests/Kernel/HostTests.cpp
+++ b/Source/UnitTests/Kernel/HostTests.cpp
@@ -1,6 +1,7 @@
 #include <variant>
 
 #include <csignal>
+#include <optional>
 
 #include <boost/test/unit_test.hpp>
 #include <unistd.h>
@@ -142,4 +143,30 @@
   BOOST_TEST(Calls == 3);
 }
 
+BOOST_AUTO_TEST_CASE(TellsDrainingServicesWhenTheHostStops) {
+  std::optional<Common::SteadyTime> Deadline;
+  struct Draining {
+    using Message = int;
+    std::optional<Common::SteadyTime> &Deadline;
+    void start() {}
+    void handle(int) {}
+    void stop() {}
+    void drain(const std::function<void()> &Done, Common::SteadyTime StopsAt) {
+      Deadline = StopsAt;
+      Done();
+    }
+  };
+  Kernel::HostBuilder Builder;
+  Builder.task("t");
+  Builder.service<Draining>("d", "t", {}, [&Deadline](Kernel::Context) {
+    return std::make_unique<Draining>(Draining{Deadline});
+  });
+  Kernel::Host Running = Builder.build();
+  Running.start();
+  const auto Before = std::chrono::steady_clock::now();
+  Running.stop(Common::Millis(1000));
+  BOOST_REQUIRE(Deadline.has_value());
+  BOOST_TEST((*Deadline >= Before + Common::Millis(1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Node/IngressServiceTests.cpp
@@ -0,0 +1,97 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Config/ObjectSetBuilder.h"
+#include "Net/Listener.h"
+#include "Node/IngressService.h"
+#include "UnitTests/RawSocket.h"
+#include "UnitTests/RecordingSink.h"
+
+BOOST_AUTO_TEST_SUITE(IngressServices)
+
+namespace {
+
+using Common::Millis;
+template <class Message> using Sink = UnitTests::RecordingSink<Message>;
+using Ingress =
+    Node::IngressService<Routing::RoundRobinChoice, Sink<Node::PeersMessage>,
+                         Sink<Node::MembersMessage>, Sink<Node::ClaimsMessage>,
+                         Sink<Node::MetricsMessage>, Sink<Node::AdminMessage>>;
+
+// The ingress of a node with one server, and the requests of its callers.
+struct Fixture {
+  Kernel::Task Worker{"t"};
+  Kernel::Registry Names;
+  std::vector<Node::PeersMessage> ToPeers;
+  Node::NodeSettings Settings;
+  std::unique_ptr<Ingress> Tested;
+
+  Fixture() {
+    Worker.spawn();
+    Settings.CallAddress = "127.0.0.1";
+    Settings.OpenCallLimit = 100;
+    Settings.BodyLimit = 1000;
+    Settings.ServeOnLimit = Millis(60'000);
+    Worker.runAndWait([this] {
+      Settings.CallPort =
+          Net::Listener(Worker, "127.0.0.1", 0, [](const auto &) {}).port();
+      Tested = std::make_unique<Ingress>(
+          Kernel::Context{Worker, Names}, Settings, Routing::RoundRobinChoice(),
+          Ingress::Sinks{Sink<Node::PeersMessage>(ToPeers), {}, {}, {}, {}});
+      Tested->start();
+      Config::AcceptedSet Accepted;
+      Accepted.SetVersion = 5;
+      Accepted.Set = sampleSet();
+      Tested->handle(Node::ConfigAccepted{Accepted});
+      auto Servers = std::make_shared<Routing::ServerView>();
+      Servers->ByService["s"] = {{"s1", "10.0.0.1:1", "here", 6}};
+      Tested->handle(Node::ServersChanged{Servers});
+    });
+  }
+  ~Fixture() {
+    Worker.runAndWait([this] {
+      Tested->stop();
+      Tested.reset();
+    });
+  }
+
+  static Config::ObjectSetPtr sampleSet() {
+    return Config::ObjectSetBuilder()
+        .input("f", "[service s]\n"
+                    "[retry r]\nattempts = 1\n"
+                    "[kind long]\nidempotent = yes\ndeadline = 5s\n"
+                    "retry = r\n"
+                    "[kind short]\nidempotent = yes\ndeadline = 1s\n"
+                    "retry = r\n"
+                    "[route a]\nprefix = /long\nservice = s\nkind = long\n"
+                    "[route b]\nprefix = /short\nservice = s\nkind = short\n")
+        .build();
+  }
+  static std::string request(const std::string &Path) {
+    return "GET " + Path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+  std::size_t passedOn() {
+    std::size_t Result = 0;
+    Worker.runAndWait([&] { Result = ToPeers.size(); });
+    return Result;
+  }
+};
+
+} // namespace
+
+// Guards against a planned stop that cuts calls which were accepted late and
+// were still running when the node ended.
+BOOST_FIXTURE_TEST_CASE(PlannedStopAcceptsOnlyCallsThatItCanAnswer, Fixture) {
+  Worker.runAndWait([this] {
+    Tested->drain([] {}, std::chrono::steady_clock::now() + Millis(3000));
+  });
+  UnitTests::RawSocket Long(Settings.CallPort);
+  Long.send(request("/long"));
+  BOOST_TEST(Long.readUntil("\r\n\r\n").find(" 503 ") != std::string::npos);
+  BOOST_TEST(passedOn() == 0U);
+  UnitTests::RawSocket Short(Settings.CallPort);
+  Short.send(request("/short"));
+  BOOST_TEST(Short.readUntil("\r\n\r\n", Millis(200)).empty());
+  BOOST_TEST(passedOn() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Routing/DispatcherTests.cpp
+++ b/Source/UnitTests/Routing/DispatcherTests.cpp
@@ -177,4 +177,25 @@
   BOOST_TEST(std::holds_alternative<SendAttempt>(Actions[0]));
 }
 
+// Guards against a planned stop that cuts calls which were accepted late: the
+// deadline of this kind is a second.
+BOOST_FIXTURE_TEST_CASE(RefusesCallsThatMayOutlastAPlannedStop, Fixture) {
+  sent(startCall(1, "/write"));
+  Calls.stopAt(Now + Millis(1200));
+  Now += Millis(200);
+  sent(startCall(2, "/write"));
+  Now += Millis(1);
+  const auto Refused = answered(startCall(3, "/write"));
+  BOOST_TEST((Refused.Reply.Result == ResultCode::Draining));
+  BOOST_TEST(Common::isNotRun(Refused.Reply.Result));
+  // A caller that gives up earlier is still served.
+  CallStart Short;
+  Short.Call = 4;
+  Short.Method = "GET";
+  Short.Path = "/write";
+  Short.Target = "/write";
+  Short.Timeout = Millis(900);
+  sent(Calls.startCall(std::move(Short), Now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
