Show that a response which ends within its head is no answer

It can't happen here: each prefix of five heads and of two bodies, closed in order, counts as no answer, on the code as it is. No change of code.

--- a/Source/UnitTests/Http/KeepAliveClientTests.cpp
+++ b/Source/UnitTests/Http/KeepAliveClientTests.cpp
@@ -174,6 +174,49 @@
   BOOST_TEST(!result(2).Answered);
 }
 
+// Guards against a success with an empty or short body: the server stops in the
+// middle of the head of its response, at any byte, and closes in order.
+BOOST_FIXTURE_TEST_CASE(AResponseThatEndsWithinItsHeadIsNoAnswer, Fixture) {
+  const std::string Start = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+  std::size_t Sent = 0;
+  for (const std::string &Head :
+       {Start + "Content-Length: 4\r\n\r\n",
+        Start + "Transfer-Encoding: chunked\r\n\r\n",
+        Start + "Connection: close\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n" + std::string(),
+        "HTTP/1.1 100 Continue\r\n\r\n" + Start + "\r\n"})
+    for (std::size_t Length = 0; Length < Head.size(); ++Length) {
+      OnRequest = [&](int, Net::ByteStream &Peer) {
+        Peer.write(Head.substr(0, Length));
+        Peer.closeGracefully();
+      };
+      send("1");
+      const Http::ClientResult &Result = result(++Sent);
+      BOOST_TEST(!Result.Answered, "answered after " << Head.substr(0, Length));
+      BOOST_TEST(Result.MayHaveRun);
+    }
+}
+
+// The same in the body of a response whose length is known.
+BOOST_FIXTURE_TEST_CASE(AResponseThatEndsWithinItsBodyIsNoAnswer, Fixture) {
+  const std::string Start = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+  const std::string Chunked =
+      Start + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  const std::string WithLength = Start + "Content-Length: 4\r\n\r\nbody";
+  std::size_t Sent = 0;
+  for (const std::string &Whole : {Chunked, WithLength})
+    for (std::size_t Length = Whole.find("\r\n\r\n") + 4; Length < Whole.size();
+         ++Length) {
+      OnRequest = [&](int, Net::ByteStream &Peer) {
+        Peer.write(Whole.substr(0, Length));
+        Peer.closeGracefully();
+      };
+      send("1");
+      BOOST_TEST(!result(++Sent).Answered,
+                 "answered after " << Whole.substr(0, Length));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(AcceptsAResponseWithoutLengthOnlyAfterAnOrderlyClose,
                         Fixture) {
   OnRequest = [](int Number, Net::ByteStream &Peer) {
