Refuse waiting calls when a server of another service takes over

Cause: BackendService compares the service of a call only when it arrives; the new announcement changed the address while the calls stayed in the queue. Change: an announcement of another service refuses the waiting calls as not run. Test that failed before: BackendServices/WaitingCallsAreNotRunByAServerOfAnotherService (3 checks); a restart under another name keeps them (second test, passed before).

--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -125,6 +125,10 @@
   }
 
   void onMessage(ServerAnnounced &Event) {
+    // The waiting calls were accepted for the previous server's service, which
+    // no server runs at this address any more.
+    if (Event.Server.Service != Server.Service)
+      act(Queue.setSlots(0, now()));
     Server = Event.Server;
     Transport->useServer(Event.Address);
     act(Queue.setSlots(Server.Leaving ? 0 : Server.Slots, now()));
--- a/Source/UnitTests/Node/BackendServiceTests.cpp
+++ b/Source/UnitTests/Node/BackendServiceTests.cpp
@@ -215,6 +215,37 @@
   });
 }
 
+// Guards against calls that are run by another service: they wait for a server
+// which fell silent, and a server of another service takes over its address.
+BOOST_FIXTURE_TEST_CASE(WaitingCallsAreNotRunByAServerOfAnotherService,
+                        Fixture) {
+  request(1, false);
+  request(2, false);
+  waitFor([&] { return OpenExchanges.size() == 1; });
+  Worker.runAndWait([&] {
+    Tested->handle(
+        Node::ServerAnnounced{{"other", "s2", 2, false},
+                              "127.0.0.1:" + std::to_string(Server->port())});
+  });
+  BOOST_TEST(reply(0).Attempt == 2);
+  BOOST_TEST((reply(0).Result == Common::ResultCode::NoLiveServer));
+  BOOST_TEST(OpenExchanges.size() == 1U);
+}
+
+// A restart of the server under another name keeps them.
+BOOST_FIXTURE_TEST_CASE(WaitingCallsAreRunByTheNextServerOfTheirService,
+                        Fixture) {
+  request(1, false);
+  request(2, false);
+  waitFor([&] { return OpenExchanges.size() == 1; });
+  Worker.runAndWait([&] {
+    Tested->handle(
+        Node::ServerAnnounced{{"s", "s2", 2, false},
+                              "127.0.0.1:" + std::to_string(Server->port())});
+  });
+  waitFor([&] { return OpenExchanges.size() == 2; });
+}
+
 BOOST_FIXTURE_TEST_CASE(DrainWaitsForRunningCalls, Fixture) {
   request(1, false);
   waitFor([&] { return OpenExchanges.size() == 1; });
