--- a/Source/Core/Node/AnnouncementService.h
+++ b/Source/Core/Node/AnnouncementService.h
@@ -103,17 +103,26 @@
     adopt(Event.Departed, "other nodes");
   }
 
+  void onMessage(ConfigAccepted &Event) { Set = Event.Newest.Set; }
+
   void onMessage(MembersChanged &Event) {
     Recall.setLiveMembers(Event.Alive->size());
   }
 
   // Uses an announcement that the recall does not hold back.
   void use(const Membership::Announcement &Received) {
-    const Common::ResultCode Result = Filter.handleAnnouncement(Received);
+    // Another program may send announcements as well. One of a service that is
+    // not configured must not replace the server beside this node.
+    const bool IsConfigured =
+        !Set || Set->services().contains(Received.Server.Service);
+    const Common::ResultCode Result = IsConfigured
+                                          ? Filter.handleAnnouncement(Received)
+                                          : Common::ResultCode::ServiceUnknown;
     if (Result != Common::ResultCode::Ok) {
-      spdlog::warn("event=heartbeat-ignored server={} sequence={} code={}",
-                   Received.Server.Server, Received.Sequence,
-                   Common::resultCodeNumber(Result));
+      spdlog::warn(
+          "event=heartbeat-ignored server={} service={} sequence={} code={}",
+          Received.Server.Server, Received.Server.Service, Received.Sequence,
+          Common::resultCodeNumber(Result));
       return;
     }
     ServerAnnounced Announced{Received.Server, Received.Address};
@@ -173,6 +182,8 @@
   Membership::AnnouncementFilter Filter;
   Membership::DepartureRecorder Recorder;
   Membership::DepartureRecall Recall;
+  // Empty until the first set is in force.
+  Config::ObjectSetPtr Set;
   bool IsRecalled = false;
   std::deque<Membership::Announcement> HeldBack;
 };
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -176,7 +176,8 @@
 };
 using AnnouncementMessage =
     std::variant<AnnouncementArrived, DepartureArrived, DepartureRecorded,
-                 DepartureListed, DepartureReported, MembersChanged>;
+                 DepartureListed, DepartureReported, MembersChanged,
+                 ConfigAccepted>;
 
 // The outcome of an announcement or departure. A departure that could not be
 // recorded is not acknowledged.
--- a/Source/Core/Node/SourceConfigService.h
+++ b/Source/Core/Node/SourceConfigService.h
@@ -31,6 +31,7 @@
     Control ToControl;
     // Called once, when the first set is in force.
     std::function<void()> OnFirstSet;
+    Kernel::Address<AnnouncementMessage> ToAnnouncements = {};
   };
 
   SourceConfigService(Kernel::Context Context, const NodeSettings &Settings,
@@ -154,6 +155,7 @@
       Config::AcceptedSet Newest;
       Newest.SetVersion = Read.SetVersion;
       Newest.Set = Read.Set;
+      Targets.ToAnnouncements.post(ConfigAccepted{Newest});
       Targets.ToIngress.post(ConfigAccepted{std::move(Newest)});
       if (Targets.OnFirstSet)
         std::exchange(Targets.OnFirstSet, nullptr)();
--- a/Source/UnitTests/Node/BackendServiceTests.cpp
+++ b/Source/UnitTests/Node/BackendServiceTests.cpp
@@ -239,9 +239,8 @@
   request(2, false);
   waitFor([&] { return OpenExchanges.size() == 1; });
   Worker.runAndWait([&] {
-    Tested->handle(
-        Node::ServerAnnounced{{"s", "s2", 2, false},
-                              "127.0.0.1:" + std::to_string(Server->port())});
+    Tested->handle(Node::ServerAnnounced{
+        {"s", "s2", 2, false}, "127.0.0.1:" + std::to_string(Server->port())});
   });
   waitFor([&] { return OpenExchanges.size() == 2; });
 }
