Adopt the later of two departures after a restart

Cause: a restarted node kept the departure that it heard of first. With an older one from the directory, whose last record had failed, it would have used a later server again that the other nodes knew to have left. Change: the departure received later counts. DepartureRecorder returns the requests alone, since all of them have the same result. Test that failed before: Joining/ARestartedNodeAdoptsTheLaterDeparture.

--- a/Source/Core/Membership/AnnouncementFilter.cpp
+++ b/Source/Core/Membership/AnnouncementFilter.cpp
@@ -40,7 +40,7 @@
 }
 
 bool AnnouncementFilter::adoptDeparture(const DepartedServer &Earlier) {
-  if (!Departed)
+  if (!Departed || Departed->ReceivedAt < Earlier.ReceivedAt)
     Departed = Earlier;
   if (HasLeft || Earlier.Server != Server || StartTime > Earlier.LastStart)
     return false;
--- a/Source/Core/Membership/DepartureRecorder.cpp
+++ b/Source/Core/Membership/DepartureRecorder.cpp
@@ -19,16 +19,16 @@
   return Pending;
 }
 
-std::vector<DepartureRecorder::Answer>
+std::vector<DepartureRecorder::RequestId>
 DepartureRecorder::onRecorded(bool Succeeded) {
-  std::vector<Answer> Result;
+  std::vector<RequestId> Result;
   if (!Pending)
     return Result;
   if (Succeeded)
     Recorded = Pending;
   for (const Waiting &Entry : Requests)
     if (Entry.Departed == *Pending)
-      Result.push_back({Entry.Request, Succeeded});
+      Result.push_back(Entry.Request);
   std::erase_if(Requests, [this](const Waiting &Entry) {
     return Entry.Departed == *Pending;
   });
--- a/Source/Core/Membership/DepartureRecorder.h
+++ b/Source/Core/Membership/DepartureRecorder.h
@@ -15,11 +15,6 @@
 public:
   using RequestId = std::uint64_t;
 
-  struct Answer {
-    RequestId Request = 0;
-    bool IsRecorded = false;
-  };
-
   // Returns true if the departure is recorded. Otherwise the request is
   // answered by onRecorded().
   bool request(RequestId Request, const DepartedServer &Departed);
@@ -27,8 +22,8 @@
   // reported before the next one is returned.
   std::optional<DepartedServer> next();
   // Reports the result for the departure that next() returned. Returns the
-  // requests that are answered by it.
-  std::vector<Answer> onRecorded(bool Succeeded);
+  // requests that it answers.
+  std::vector<RequestId> onRecorded(bool Succeeded);
   // A departure that an earlier process recorded.
   void adopt(const DepartedServer &Earlier);
 
--- a/Source/Core/Node/AnnouncementService.h
+++ b/Source/Core/Node/AnnouncementService.h
@@ -85,8 +85,8 @@
     if (!Succeeded)
       spdlog::warn("event=departure-not-recorded server={} code={}",
                    Event.Departed.Server, Common::resultCodeNumber(Event.Code));
-    for (const auto &Answer : Recorder.onRecorded(Succeeded))
-      answer(Answer.Request, Event.Code);
+    for (const auto Exchange : Recorder.onRecorded(Succeeded))
+      answer(Exchange, Event.Code);
     recordNext();
   }
 
--- a/Source/UnitTests/Membership/DepartureRecorderTests.cpp
+++ b/Source/UnitTests/Membership/DepartureRecorderTests.cpp
@@ -23,9 +23,7 @@
   // A repeated departure waits for the same record.
   BOOST_TEST(!Recorder.request(2, departed("a")));
   BOOST_TEST(!Recorder.next());
-  const auto Answers = Recorder.onRecorded(true);
-  BOOST_REQUIRE_EQUAL(Answers.size(), 2U);
-  BOOST_TEST(Answers[0].IsRecorded);
+  BOOST_TEST(Recorder.onRecorded(true).size() == 2U);
   BOOST_TEST(Recorder.request(3, departed("a")));
   BOOST_TEST(!Recorder.next());
 }
@@ -34,9 +32,7 @@
   DepartureRecorder Recorder;
   Recorder.request(1, departed("a"));
   Recorder.next();
-  const auto Answers = Recorder.onRecorded(false);
-  BOOST_REQUIRE_EQUAL(Answers.size(), 1U);
-  BOOST_TEST(!Answers[0].IsRecorded);
+  BOOST_TEST(Recorder.onRecorded(false).size() == 1U);
   BOOST_TEST(!Recorder.next());
   BOOST_TEST(!Recorder.request(2, departed("a")));
   BOOST_TEST(Recorder.next().has_value());
@@ -51,7 +47,7 @@
   BOOST_TEST(!Recorder.next());
   BOOST_TEST(Recorder.onRecorded(true).size() == 1U);
   BOOST_TEST((Recorder.next() == departed("b")));
-  BOOST_TEST(Recorder.onRecorded(true).at(0).Request == 2U);
+  BOOST_TEST(Recorder.onRecorded(true).at(0) == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(ARestartedNodeWaitsForTheDirectoryOrForOtherNodes) {
--- a/Source/UnitTests/Membership/JoiningTests.cpp
+++ b/Source/UnitTests/Membership/JoiningTests.cpp
@@ -70,6 +70,23 @@
   }
 }
 
+// The directory and the other nodes may know different departures. The later
+// one is that of the server which ran last.
+BOOST_AUTO_TEST_CASE(ARestartedNodeAdoptsTheLaterDeparture) {
+  const DepartedServer First{"a", Common::WallTime(Millis(5)),
+                             Common::WallTime(Millis(20))};
+  const DepartedServer Last{"b", Common::WallTime(Millis(30)),
+                            Common::WallTime(Millis(40))};
+  AnnouncementFilter Filter;
+  BOOST_TEST(!Filter.adoptDeparture(First));
+  BOOST_TEST(!Filter.adoptDeparture(Last));
+  BOOST_TEST(!Filter.adoptDeparture(First));
+  BOOST_TEST((Filter.handleAnnouncement(announcement("b", Millis(30), 7)) ==
+              ResultCode::HeartbeatStale));
+  BOOST_TEST((Filter.handleAnnouncement(announcement("b", Millis(50), 1)) ==
+              ResultCode::Ok));
+}
+
 BOOST_AUTO_TEST_CASE(IgnoresTheDepartureOfAnEarlierIncarnation) {
   AnnouncementFilter Filter;
   Filter.handleAnnouncement(announcement("a", Millis(9), 1));
