Add the shared types of tenants, versions and expected cost

Cause: roll-outs, tenants and uneven work are built side by side and meet in the same messages. Change: Config::Tenant with its index by key, Route::Anonymous, RequestKind::LargeBodies, Endpoint and ServerEntry versions, the tenant and expected cost of a call, the backlog of a server, and the policy that divides calls between versions. Nothing uses them yet. Measured: nothing; the build is the only check so far.

--- a/Source/Core/Config/ObjectSet.cpp
+++ b/Source/Core/Config/ObjectSet.cpp
@@ -1,5 +1,6 @@
 #include "Config/ObjectSet.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace Config {
@@ -36,6 +37,18 @@
   return nullptr;
 }
 
+const Tenant *ObjectSet::findTenantByKey(std::string_view Key) const {
+  const auto Found = TenantsByKey.find(Key);
+  return Found == TenantsByKey.end() ? nullptr : Found->second;
+}
+
+bool ObjectSet::hasUnevenWork() const {
+  return !Tenants.empty() ||
+         std::any_of(Kinds.begin(), Kinds.end(), [](const auto &Entry) {
+           return Entry.second.LargeBodies;
+         });
+}
+
 bool ObjectSet::contains(const std::string &Type,
                          const std::string &Name) const {
   if (Type == "service")
@@ -52,6 +65,10 @@
     Index.ByPrefix[Definition.Prefix].push_back(&Definition);
     Index.Lengths.insert(Definition.Prefix.size());
   }
+  TenantsByKey.clear();
+  for (const auto &[Name, Definition] : Tenants)
+    for (const std::string &Key : Definition.Keys)
+      TenantsByKey.emplace(Key, &Definition);
 }
 
 std::string ObjectSet::canonicalText() const {
--- a/Source/Core/Config/ObjectSet.h
+++ b/Source/Core/Config/ObjectSet.h
@@ -59,6 +59,9 @@
   // Whether a call must claim its idempotency key before it runs, because it
   // must not run twice.
   bool NeedsKey = false;
+  // Whether its requests carry large bodies, so that their cost differs more
+  // than that of other kinds.
+  bool LargeBodies = false;
   std::string Retry;
 };
 
@@ -93,6 +96,23 @@
   std::string Service;
   std::vector<WeightedService> Split;
   std::string Kind;
+  // Whether its calls need no tenant key, although the set has tenants.
+  bool Anonymous = false;
+};
+
+// A customer of the operator's, known by the keys that its requests carry.
+// Keys are secrets: they appear in no log line, metric, page or error text.
+struct Tenant {
+  std::string Name;
+  std::vector<std::string> Keys;
+  // Takes precedence over the priority of the request kind.
+  std::optional<int> Priority;
+  // Requests per second that the whole mesh serves, and how many more it serves
+  // at once. A rate of 0 means no limit.
+  double RatePerSecond = 0;
+  double Burst = 0;
+
+  bool operator==(const Tenant &) const = default;
 };
 
 // Limits for the size of callers' requests, for the time to send the header,
@@ -117,6 +137,14 @@
   }
   const std::map<std::string, RequestKind> &kinds() const { return Kinds; }
   const std::map<std::string, Route> &routes() const { return Routes; }
+  // Empty when the set does not tell tenants apart.
+  const std::map<std::string, Tenant> &tenants() const { return Tenants; }
+  // Returns the tenant that holds the key, or null.
+  const Tenant *findTenantByKey(std::string_view Key) const;
+  // Whether the set declares differences between calls that their kind does not
+  // show: tenants, or kinds with large bodies. Where a call goes then depends
+  // on its expected cost.
+  bool hasUnevenWork() const;
 
   // Empty when the limits in the node's own settings apply.
   const std::optional<CallerLimits> &callerLimits() const { return Limits; }
@@ -134,6 +162,7 @@
   std::map<std::string, RetryRule> RetryRules;
   std::map<std::string, RequestKind> Kinds;
   std::map<std::string, Route> Routes;
+  std::map<std::string, Tenant> Tenants;
   std::optional<CallerLimits> Limits;
 
   // Index of the routes of one host by prefix. The strings and routes are owned
@@ -151,6 +180,8 @@
                                  std::string_view Path);
 
   std::unordered_map<std::string_view, HostIndex> Hosts;
+  // The strings and tenants are owned by Tenants.
+  std::unordered_map<std::string_view, const Tenant *> TenantsByKey;
 };
 
 using ObjectSetPtr = std::shared_ptr<const ObjectSet>;
--- a/Source/Core/Config/ObjectSetBuilder.cpp
+++ b/Source/Core/Config/ObjectSetBuilder.cpp
@@ -202,6 +202,10 @@
   return addTyped("route", Result.Routes, std::move(Definition));
 }
 
+ObjectSetBuilder &ObjectSetBuilder::add(Tenant Definition) {
+  return addTyped("tenant", Result.Tenants, std::move(Definition));
+}
+
 ObjectSetBuilder &ObjectSetBuilder::limits(const CallerLimits &Limits) {
   Result.Limits = Limits;
   return *this;
@@ -383,6 +387,22 @@
   }
 }
 
+// The faults name tenants and never keys, which are secrets.
+void ObjectSetBuilder::checkTenants() {
+  std::map<std::string_view, std::string_view> Owners;
+  for (const auto &[Name, Definition] : Result.Tenants) {
+    if (Definition.RatePerSecond < 0 || Definition.Burst < 0)
+      addFault(ResultCode::ObjectBadValue, "tenant " + Name,
+               "has a rate or burst below 0");
+    for (const std::string &Key : Definition.Keys) {
+      const auto [Owner, IsNew] = Owners.emplace(Key, Name);
+      if (!IsNew)
+        addFault(ResultCode::ObjectConflict, "tenant " + Name,
+                 "shares a key with tenant " + std::string(Owner->second));
+    }
+  }
+}
+
 void ObjectSetBuilder::check() {
   if (Checked)
     return;
@@ -393,6 +413,7 @@
   checkFallbackCycles();
   checkRouteConflicts();
   checkSplits();
+  checkTenants();
   const bool IsEmpty = Result.Services.empty() && Result.RetryRules.empty() &&
                        Result.Kinds.empty() && Result.Routes.empty();
   if (IsEmpty && Faults.empty())
--- a/Source/Core/Config/ObjectSetBuilder.h
+++ b/Source/Core/Config/ObjectSetBuilder.h
@@ -21,6 +21,7 @@
   ObjectSetBuilder &add(RetryRule Definition);
   ObjectSetBuilder &add(RequestKind Definition);
   ObjectSetBuilder &add(Route Definition);
+  ObjectSetBuilder &add(Tenant Definition);
   ObjectSetBuilder &limits(const CallerLimits &Limits);
 
   // Returns every fault of the set, ordered by file and line.
@@ -50,6 +51,7 @@
   void checkFallbackCycles();
   void checkRouteConflicts();
   void checkSplits();
+  void checkTenants();
   // Returns the origin for an object that was not read from a file.
   Location locationOf(const std::string &Object) const;
   void addFault(Common::ResultCode Code, const std::string &Object,
--- a/Source/Core/Membership/Member.h
+++ b/Source/Core/Membership/Member.h
@@ -17,6 +17,8 @@
   std::string Server;
   int Slots = 1;
   bool Leaving = false;
+  // The version of its software; empty if it does not state one.
+  std::string Version = {};
 
   bool operator==(const Endpoint &) const = default;
 };
--- a/Source/Core/Membership/MemberTable.cpp
+++ b/Source/Core/Membership/MemberTable.cpp
@@ -18,7 +18,7 @@
       continue;
     View.ByService[Server.Service].push_back(
         {Server.Server, From.Address + ":" + std::to_string(From.PeerPort),
-         From.DataCentre, Server.Slots});
+         From.DataCentre, Server.Slots, Server.Version});
   }
 }
 
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -107,7 +107,9 @@
          .Priority = Opened.Request.Priority,
          .TargetTime = Opened.Arrived + Opened.Request.TargetTimeLeft,
          .TargetLatency = Opened.Request.TargetLatency,
-         .WaitLimit = Opened.Request.WaitLimit},
+         .WaitLimit = Opened.Request.WaitLimit,
+         .Tenant = Opened.Request.Tenant,
+         .ExpectedCost = Opened.Request.ExpectedCost},
         now()));
   }
 
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -130,6 +130,9 @@
   void onMessage(DataCentresUnreachable &Event) {
     Calls.useUnreachable(std::move(Event.DataCentres));
   }
+  void onMessage(VersionPolicyChanged &Event) {
+    Calls.useVersionPolicy(std::move(Event.Policy));
+  }
   void onMessage(ReplyArrived &Event) {
     act(Calls.handleReply(Event.Reply, now()));
   }
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -19,6 +19,7 @@
 #include "Report/CallSample.h"
 #include "Routing/Call.h"
 #include "Routing/ServerView.h"
+#include "Routing/VersionPolicy.h"
 
 // The messages between the services of one node.
 namespace Node {
@@ -74,10 +75,15 @@
   std::string Server;
   Routing::ServerLoad Load;
 };
+// How calls are divided between the versions of services that are being moved
+// to another version.
+struct VersionPolicyChanged {
+  Routing::VersionPolicyPtr Policy;
+};
 using IngressMessage =
     std::variant<ConfigAccepted, ServersChanged, ReplyArrived, NodeLost,
                  ClaimDecided, CallerServiceChanged, LoadReceived,
-                 DataCentresUnreachable>;
+                 DataCentresUnreachable, VersionPolicyChanged>;
 
 struct SendRequest {
   Routing::NodeAddress Address;
--- a/Source/Core/Routing/Call.h
+++ b/Source/Core/Routing/Call.h
@@ -42,6 +42,11 @@
   std::optional<Common::Micros> WaitLimit;
   // Set when only this server may run the call.
   std::string Server;
+  // The name of the tenant that sent it; empty if there is none.
+  std::string Tenant;
+  // How long the call is expected to hold a slot of a server of usual speed; 0
+  // if unknown.
+  Common::Micros ExpectedCost{0};
   bool LongLane = false;
   bool Idempotent = true;
   std::string CorrelationId;
@@ -58,6 +63,9 @@
   Common::Micros SlotTime{0};
   // Percentage of the latest calls that the server failed.
   int FailurePercent = 0;
+  // The expected time of all work that is running or waiting, divided by the
+  // slots; 0 if unknown.
+  Common::Micros Backlog{0};
 };
 
 // HTTP statuses from this one on are server errors.
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -18,6 +18,7 @@
 #include "Routing/RetryBudgets.h"
 #include "Routing/ServerRecords.h"
 #include "Routing/ServerView.h"
+#include "Routing/VersionPolicy.h"
 
 namespace Routing {
 
@@ -96,6 +97,11 @@
     Unreachable = std::move(DataCentres);
   }
 
+  // Never null.
+  void useVersionPolicy(VersionPolicyPtr NewPolicy) {
+    Versions = std::move(NewPolicy);
+  }
+
   // Refuses all calls from now on that may still be open at Time, because this
   // process stops then.
   void stopAt(Common::SteadyTime Time) { StopsAt = Time; }
@@ -242,6 +248,7 @@
   Config::ObjectSetPtr Set;
   ServerViewPtr Servers = std::make_shared<const ServerView>();
   std::set<std::string> Unreachable;
+  VersionPolicyPtr Versions = std::make_shared<const VersionPolicy>();
   std::optional<Common::SteadyTime> StopsAt;
   std::unordered_map<CallId, OpenCall> Calls;
   std::unordered_map<AttemptId, OpenAttempt> Attempts;
--- a/Source/Core/Routing/ServerView.h
+++ b/Source/Core/Routing/ServerView.h
@@ -15,6 +15,8 @@
   NodeAddress Node;
   std::string DataCentre;
   int Slots = 1;
+  // The version of its software; empty if it does not state one.
+  std::string Version = {};
 
   bool operator==(const ServerEntry &) const = default;
 };
--- a/Source/Core/Wire/Codec.cpp
+++ b/Source/Core/Wire/Codec.cpp
@@ -47,6 +47,8 @@
   if (From.WaitLimit)
     Part.__set_WaitLimitMicros(From.WaitLimit->count());
   Part.Server = From.Server;
+  Part.Tenant = From.Tenant;
+  Part.ExpectedCostMicros = From.ExpectedCost.count();
   Generated::Frame Result;
   Result.__set_Request(Part);
   return Result;
@@ -67,6 +69,7 @@
   Part.Server = From.Server;
   Part.SlotMicros = From.Load.SlotTime.count();
   Part.FailurePercent = From.Load.FailurePercent;
+  Part.BacklogMicros = From.Load.Backlog.count();
   Generated::Frame Result;
   Result.__set_Reply(Part);
   return Result;
@@ -106,6 +109,7 @@
   Part.Slots = From.Load.Slots;
   Part.SlotMicros = From.Load.SlotTime.count();
   Part.FailurePercent = From.Load.FailurePercent;
+  Part.BacklogMicros = From.Load.Backlog.count();
   Generated::Frame Result;
   Result.__set_Load(Part);
   return Result;
@@ -117,7 +121,8 @@
            .BusySlots = Part.BusySlots,
            .Slots = Part.Slots,
            .SlotTime = Common::Micros(Part.SlotMicros),
-           .FailurePercent = Part.FailurePercent}};
+           .FailurePercent = Part.FailurePercent,
+           .Backlog = Common::Micros(Part.BacklogMicros)}};
 }
 
 Routing::CallRequest fromWire(Generated::CallRequest &Part) {
@@ -139,6 +144,8 @@
   if (Part.__isset.WaitLimitMicros)
     Result.WaitLimit = Common::Micros(Part.WaitLimitMicros);
   Result.Server = std::move(Part.Server);
+  Result.Tenant = std::move(Part.Tenant);
+  Result.ExpectedCost = Common::Micros(Part.ExpectedCostMicros);
   Result.CorrelationId = std::move(Part.CorrelationId);
   Result.Caller = std::move(Part.Caller);
   Result.ConfigVersion = Part.ConfigVersion;
@@ -156,7 +163,8 @@
                  .BusySlots = Part.BusySlots,
                  .Slots = Part.Slots,
                  .SlotTime = Common::Micros(Part.SlotMicros),
-                 .FailurePercent = Part.FailurePercent};
+                 .FailurePercent = Part.FailurePercent,
+                 .Backlog = Common::Micros(Part.BacklogMicros)};
   Result.QueueTime = Common::Micros(Part.QueueMicros);
   Result.ServiceTime = Common::Micros(Part.ServiceMicros);
   Result.Server = std::move(Part.Server);
--- a/Source/Core/Wire/Generated/Zinnia_types.cpp
+++ b/Source/Core/Wire/Generated/Zinnia_types.cpp
@@ -226,6 +226,14 @@
 void CallRequest::__set_TargetLengthMicros(const int64_t val) {
   this->TargetLengthMicros = val;
 }
+
+void CallRequest::__set_Tenant(const std::string& val) {
+  this->Tenant = val;
+}
+
+void CallRequest::__set_ExpectedCostMicros(const int64_t val) {
+  this->ExpectedCostMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -421,6 +429,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Tenant);
+          this->__isset.Tenant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ExpectedCostMicros);
+          this->__isset.ExpectedCostMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -524,6 +548,14 @@
   xfer += oprot->writeI64(this->TargetLengthMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Tenant", ::apache::thrift::protocol::T_STRING, 20);
+  xfer += oprot->writeString(this->Tenant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ExpectedCostMicros", ::apache::thrift::protocol::T_I64, 21);
+  xfer += oprot->writeI64(this->ExpectedCostMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -550,6 +582,8 @@
   swap(a.WaitLimitMicros, b.WaitLimitMicros);
   swap(a.Server, b.Server);
   swap(a.TargetLengthMicros, b.TargetLengthMicros);
+  swap(a.Tenant, b.Tenant);
+  swap(a.ExpectedCostMicros, b.ExpectedCostMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -573,6 +607,8 @@
   WaitLimitMicros = other10.WaitLimitMicros;
   Server = other10.Server;
   TargetLengthMicros = other10.TargetLengthMicros;
+  Tenant = other10.Tenant;
+  ExpectedCostMicros = other10.ExpectedCostMicros;
   __isset = other10.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other11) {
@@ -595,6 +631,8 @@
   WaitLimitMicros = other11.WaitLimitMicros;
   Server = other11.Server;
   TargetLengthMicros = other11.TargetLengthMicros;
+  Tenant = other11.Tenant;
+  ExpectedCostMicros = other11.ExpectedCostMicros;
   __isset = other11.__isset;
   return *this;
 }
@@ -620,6 +658,8 @@
   out << ", " << "WaitLimitMicros="; (__isset.WaitLimitMicros ? (out << to_string(WaitLimitMicros)) : (out << "<null>"));
   out << ", " << "Server=" << to_string(Server);
   out << ", " << "TargetLengthMicros=" << to_string(TargetLengthMicros);
+  out << ", " << "Tenant=" << to_string(Tenant);
+  out << ", " << "ExpectedCostMicros=" << to_string(ExpectedCostMicros);
   out << ")";
 }
 
@@ -679,6 +719,10 @@
 void CallReply::__set_FailurePercent(const int32_t val) {
   this->FailurePercent = val;
 }
+
+void CallReply::__set_BacklogMicros(const int64_t val) {
+  this->BacklogMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallReply& obj)
 {
   obj.printTo(out);
@@ -826,6 +870,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->BacklogMicros);
+          this->__isset.BacklogMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -904,6 +956,10 @@
   xfer += oprot->writeI32(this->FailurePercent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("BacklogMicros", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->BacklogMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -924,6 +980,7 @@
   swap(a.Server, b.Server);
   swap(a.SlotMicros, b.SlotMicros);
   swap(a.FailurePercent, b.FailurePercent);
+  swap(a.BacklogMicros, b.BacklogMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -941,6 +998,7 @@
   Server = other20.Server;
   SlotMicros = other20.SlotMicros;
   FailurePercent = other20.FailurePercent;
+  BacklogMicros = other20.BacklogMicros;
   __isset = other20.__isset;
 }
 CallReply& CallReply::operator=(const CallReply& other21) {
@@ -957,6 +1015,7 @@
   Server = other21.Server;
   SlotMicros = other21.SlotMicros;
   FailurePercent = other21.FailurePercent;
+  BacklogMicros = other21.BacklogMicros;
   __isset = other21.__isset;
   return *this;
 }
@@ -976,6 +1035,7 @@
   out << ", " << "Server=" << to_string(Server);
   out << ", " << "SlotMicros=" << to_string(SlotMicros);
   out << ", " << "FailurePercent=" << to_string(FailurePercent);
+  out << ", " << "BacklogMicros=" << to_string(BacklogMicros);
   out << ")";
 }
 
@@ -1323,6 +1383,10 @@
 void LoadReport::__set_FailurePercent(const int32_t val) {
   this->FailurePercent = val;
 }
+
+void LoadReport::__set_BacklogMicros(const int64_t val) {
+  this->BacklogMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -1399,6 +1463,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->BacklogMicros);
+          this->__isset.BacklogMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1440,6 +1512,10 @@
   xfer += oprot->writeI32(this->FailurePercent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("BacklogMicros", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->BacklogMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1453,6 +1529,7 @@
   swap(a.Slots, b.Slots);
   swap(a.SlotMicros, b.SlotMicros);
   swap(a.FailurePercent, b.FailurePercent);
+  swap(a.BacklogMicros, b.BacklogMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -1463,6 +1540,7 @@
   Slots = other28.Slots;
   SlotMicros = other28.SlotMicros;
   FailurePercent = other28.FailurePercent;
+  BacklogMicros = other28.BacklogMicros;
   __isset = other28.__isset;
 }
 LoadReport& LoadReport::operator=(const LoadReport& other29) {
@@ -1472,6 +1550,7 @@
   Slots = other29.Slots;
   SlotMicros = other29.SlotMicros;
   FailurePercent = other29.FailurePercent;
+  BacklogMicros = other29.BacklogMicros;
   __isset = other29.__isset;
   return *this;
 }
@@ -1484,6 +1563,7 @@
   out << ", " << "Slots=" << to_string(Slots);
   out << ", " << "SlotMicros=" << to_string(SlotMicros);
   out << ", " << "FailurePercent=" << to_string(FailurePercent);
+  out << ", " << "BacklogMicros=" << to_string(BacklogMicros);
   out << ")";
 }
 
@@ -1945,6 +2025,10 @@
 void EndpointState::__set_Leaving(const bool val) {
   this->Leaving = val;
 }
+
+void EndpointState::__set_Version(const std::string& val) {
+  this->Version = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointState& obj)
 {
   obj.printTo(out);
@@ -2005,6 +2089,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Version);
+          this->__isset.Version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2038,6 +2130,10 @@
   xfer += oprot->writeBool(this->Leaving);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Version", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->Version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2049,6 +2145,7 @@
   swap(a.Server, b.Server);
   swap(a.Slots, b.Slots);
   swap(a.Leaving, b.Leaving);
+  swap(a.Version, b.Version);
   swap(a.__isset, b.__isset);
 }
 
@@ -2057,6 +2154,7 @@
   Server = other34.Server;
   Slots = other34.Slots;
   Leaving = other34.Leaving;
+  Version = other34.Version;
   __isset = other34.__isset;
 }
 EndpointState& EndpointState::operator=(const EndpointState& other35) {
@@ -2064,6 +2162,7 @@
   Server = other35.Server;
   Slots = other35.Slots;
   Leaving = other35.Leaving;
+  Version = other35.Version;
   __isset = other35.__isset;
   return *this;
 }
@@ -2074,6 +2173,7 @@
   out << ", " << "Server=" << to_string(Server);
   out << ", " << "Slots=" << to_string(Slots);
   out << ", " << "Leaving=" << to_string(Leaving);
+  out << ", " << "Version=" << to_string(Version);
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Zinnia_types.h
+++ b/Source/Core/Wire/Generated/Zinnia_types.h
@@ -103,7 +103,7 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : CallId(false), Service(false), Kind(false), Method(false), Target(false), Body(false), Headers(false), RemainingMicros(false), AttemptsLeft(false), LongLane(false), CorrelationId(false), Caller(false), ConfigVersion(false), Idempotent(false), TargetMicros(false), Priority(false), WaitLimitMicros(false), Server(false), TargetLengthMicros(false) {}
+  _CallRequest__isset() : CallId(false), Service(false), Kind(false), Method(false), Target(false), Body(false), Headers(false), RemainingMicros(false), AttemptsLeft(false), LongLane(false), CorrelationId(false), Caller(false), ConfigVersion(false), Idempotent(false), TargetMicros(false), Priority(false), WaitLimitMicros(false), Server(false), TargetLengthMicros(false), Tenant(false), ExpectedCostMicros(false) {}
   bool CallId :1;
   bool Service :1;
   bool Kind :1;
@@ -123,6 +123,8 @@
   bool WaitLimitMicros :1;
   bool Server :1;
   bool TargetLengthMicros :1;
+  bool Tenant :1;
+  bool ExpectedCostMicros :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -148,7 +150,9 @@
                 Priority(0),
                 WaitLimitMicros(0),
                 Server(),
-                TargetLengthMicros(0) {
+                TargetLengthMicros(0),
+                Tenant(),
+                ExpectedCostMicros(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -171,6 +175,8 @@
   int64_t WaitLimitMicros;
   std::string Server;
   int64_t TargetLengthMicros;
+  std::string Tenant;
+  int64_t ExpectedCostMicros;
 
   _CallRequest__isset __isset;
 
@@ -212,6 +218,10 @@
 
   void __set_TargetLengthMicros(const int64_t val);
 
+  void __set_Tenant(const std::string& val);
+
+  void __set_ExpectedCostMicros(const int64_t val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(CallId == rhs.CallId))
@@ -254,6 +264,10 @@
       return false;
     if (!(TargetLengthMicros == rhs.TargetLengthMicros))
       return false;
+    if (!(Tenant == rhs.Tenant))
+      return false;
+    if (!(ExpectedCostMicros == rhs.ExpectedCostMicros))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -273,7 +287,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallReply__isset {
-  _CallReply__isset() : CallId(false), Result(false), HttpStatus(false), Body(false), Headers(false), Queued(false), BusySlots(false), Slots(false), QueueMicros(false), ServiceMicros(false), Server(false), SlotMicros(false), FailurePercent(false) {}
+  _CallReply__isset() : CallId(false), Result(false), HttpStatus(false), Body(false), Headers(false), Queued(false), BusySlots(false), Slots(false), QueueMicros(false), ServiceMicros(false), Server(false), SlotMicros(false), FailurePercent(false), BacklogMicros(false) {}
   bool CallId :1;
   bool Result :1;
   bool HttpStatus :1;
@@ -287,6 +301,7 @@
   bool Server :1;
   bool SlotMicros :1;
   bool FailurePercent :1;
+  bool BacklogMicros :1;
 } _CallReply__isset;
 
 class CallReply : public virtual ::apache::thrift::TBase {
@@ -306,7 +321,8 @@
               ServiceMicros(0),
               Server(),
               SlotMicros(0),
-              FailurePercent(0) {
+              FailurePercent(0),
+              BacklogMicros(0) {
   }
 
   virtual ~CallReply() noexcept;
@@ -323,6 +339,7 @@
   std::string Server;
   int64_t SlotMicros;
   int32_t FailurePercent;
+  int64_t BacklogMicros;
 
   _CallReply__isset __isset;
 
@@ -352,6 +369,8 @@
 
   void __set_FailurePercent(const int32_t val);
 
+  void __set_BacklogMicros(const int64_t val);
+
   bool operator == (const CallReply & rhs) const
   {
     if (!(CallId == rhs.CallId))
@@ -380,6 +399,8 @@
       return false;
     if (!(FailurePercent == rhs.FailurePercent))
       return false;
+    if (!(BacklogMicros == rhs.BacklogMicros))
+      return false;
     return true;
   }
   bool operator != (const CallReply &rhs) const {
@@ -542,13 +563,14 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : Server(false), Queued(false), BusySlots(false), Slots(false), SlotMicros(false), FailurePercent(false) {}
+  _LoadReport__isset() : Server(false), Queued(false), BusySlots(false), Slots(false), SlotMicros(false), FailurePercent(false), BacklogMicros(false) {}
   bool Server :1;
   bool Queued :1;
   bool BusySlots :1;
   bool Slots :1;
   bool SlotMicros :1;
   bool FailurePercent :1;
+  bool BacklogMicros :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -562,7 +584,8 @@
                BusySlots(0),
                Slots(0),
                SlotMicros(0),
-               FailurePercent(0) {
+               FailurePercent(0),
+               BacklogMicros(0) {
   }
 
   virtual ~LoadReport() noexcept;
@@ -572,6 +595,7 @@
   int32_t Slots;
   int64_t SlotMicros;
   int32_t FailurePercent;
+  int64_t BacklogMicros;
 
   _LoadReport__isset __isset;
 
@@ -587,6 +611,8 @@
 
   void __set_FailurePercent(const int32_t val);
 
+  void __set_BacklogMicros(const int64_t val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(Server == rhs.Server))
@@ -601,6 +627,8 @@
       return false;
     if (!(FailurePercent == rhs.FailurePercent))
       return false;
+    if (!(BacklogMicros == rhs.BacklogMicros))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
@@ -797,11 +825,12 @@
 std::ostream& operator<<(std::ostream& out, const ConfigRecord& obj);
 
 typedef struct _EndpointState__isset {
-  _EndpointState__isset() : Service(false), Server(false), Slots(false), Leaving(false) {}
+  _EndpointState__isset() : Service(false), Server(false), Slots(false), Leaving(false), Version(false) {}
   bool Service :1;
   bool Server :1;
   bool Slots :1;
   bool Leaving :1;
+  bool Version :1;
 } _EndpointState__isset;
 
 class EndpointState : public virtual ::apache::thrift::TBase {
@@ -813,7 +842,8 @@
                 : Service(),
                   Server(),
                   Slots(0),
-                  Leaving(0) {
+                  Leaving(0),
+                  Version() {
   }
 
   virtual ~EndpointState() noexcept;
@@ -821,6 +851,7 @@
   std::string Server;
   int32_t Slots;
   bool Leaving;
+  std::string Version;
 
   _EndpointState__isset __isset;
 
@@ -832,6 +863,8 @@
 
   void __set_Leaving(const bool val);
 
+  void __set_Version(const std::string& val);
+
   bool operator == (const EndpointState & rhs) const
   {
     if (!(Service == rhs.Service))
@@ -842,6 +875,8 @@
       return false;
     if (!(Leaving == rhs.Leaving))
       return false;
+    if (!(Version == rhs.Version))
+      return false;
     return true;
   }
   bool operator != (const EndpointState &rhs) const {
--- a/Source/Core/Wire/MembersCodec.cpp
+++ b/Source/Core/Wire/MembersCodec.cpp
@@ -42,6 +42,7 @@
     Part.Server = Source.Server;
     Part.Slots = Source.Slots;
     Part.Leaving = Source.Leaving;
+    Part.Version = Source.Version;
     Result.Endpoints.push_back(std::move(Part));
   }
   if (From.Departed) {
@@ -70,7 +71,7 @@
   Result.ConfigVersion = From.ConfigVersion;
   for (const Generated::EndpointState &Part : From.Endpoints)
     Result.Endpoints.push_back(
-        {Part.Service, Part.Server, Part.Slots, Part.Leaving});
+        {Part.Service, Part.Server, Part.Slots, Part.Leaving, Part.Version});
   if (From.__isset.Departed)
     Result.Departed = DepartedServer{
         From.Departed.Server, fromMicros(From.Departed.LastStartMicros),
--- a/Source/Core/Wire/Zinnia.thrift
+++ b/Source/Core/Wire/Zinnia.thrift
@@ -29,6 +29,8 @@
   17: optional i64 WaitLimitMicros,
   18: string Server,
   19: i64 TargetLengthMicros,
+  20: string Tenant,
+  21: i64 ExpectedCostMicros,
 }
 
 struct CallReply {
@@ -45,6 +47,7 @@
   11: string Server,
   12: i64 SlotMicros,
   13: i32 FailurePercent,
+  14: i64 BacklogMicros,
 }
 
 struct CancelCall {
@@ -71,6 +74,7 @@
   4: i32 Slots,
   5: i64 SlotMicros,
   6: i32 FailurePercent,
+  7: i64 BacklogMicros,
 }
 
 union Frame {
@@ -99,6 +103,7 @@
   2: string Server,
   3: i32 Slots,
   4: bool Leaving,
+  5: string Version,
 }
 
 struct DepartedServerState {
