--- a/Source/Core/Membership/AnnouncementFilter.h
+++ b/Source/Core/Membership/AnnouncementFilter.h
@@ -21,6 +21,8 @@
   // Increases with each announcement of one incarnation.
   std::int64_t Sequence = 0;
   Common::WallTime ReceivedAt;
+  // How much longer the server is slow after its start.
+  Common::Millis ColdLeft{0};
 };
 
 // The message of a backend server that it is leaving.
--- a/Source/Core/Membership/Rendezvous.cpp
+++ b/Source/Core/Membership/Rendezvous.cpp
@@ -53,13 +53,16 @@
   std::set<std::string> Result;
   for (const Member *Representative : representatives(Members, DataCentre))
     Result.insert(Representative->Node);
-  std::map<std::string, std::vector<const Member *>> ByService;
+  // By version as well, so that other data centres know servers of each version
+  // while a service is moved to another one.
+  std::map<std::pair<std::string, std::string>, std::vector<const Member *>>
+      ByServiceAndVersion;
   for (const Member *Provider : liveMembers(Members, DataCentre))
     for (const Endpoint &Server : Provider->Endpoints)
-      ByService[Server.Service].push_back(Provider);
-  for (const auto &[Service, Providers] : ByService)
+      ByServiceAndVersion[{Server.Service, Server.Version}].push_back(Provider);
+  for (const auto &[Key, Providers] : ByServiceAndVersion)
     for (const Member *Provider :
-         highestRanked(Providers, Service, EndpointsPerService))
+         highestRanked(Providers, Key.first, EndpointsPerService))
       Result.insert(Provider->Node);
   return Result;
 }
--- a/Source/Core/Membership/Rendezvous.h
+++ b/Source/Core/Membership/Rendezvous.h
@@ -20,7 +20,8 @@
                 const std::string &DataCentre);
 
 // The names of the live members of a data centre that its summaries contain:
-// its representatives, and up to EndpointsPerService nodes for each service.
+// its representatives, and up to EndpointsPerService nodes for each version of
+// each service.
 std::set<std::string>
 summarisedNodes(const std::vector<const Member *> &Members,
                 const std::string &DataCentre);
--- a/Source/Core/Node/AnnouncementService.h
+++ b/Source/Core/Node/AnnouncementService.h
@@ -126,6 +126,7 @@
       return;
     }
     ServerAnnounced Announced{Received.Server, Received.Address};
+    Announced.ColdLeft = Received.ColdLeft;
     if (Received.Server.Leaving)
       Announced.Departed = Filter.departed();
     Targets.ToBackend.post(Announced);
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -23,15 +23,19 @@
 // server and forwards them to it over HTTP.
 template <Kernel::MessageSink<PeersMessage> Peers,
           Admission::WaitingOrder Order = Admission::LaneOrder,
-          CallCodec Codec = NativeCallCodec>
+          CallCodec Codec = NativeCallCodec,
+          Kernel::MessageSink<ServerWatched> Rollouts =
+              Kernel::Address<RolloutMessage>>
 class BackendService {
 public:
   using Message = BackendMessage;
 
   BackendService(Kernel::Context Context, const NodeSettings &Settings,
-                 std::function<Peers()> FindPeers, Codec HttpCodec = Codec())
+                 std::function<Peers()> FindPeers, Codec HttpCodec = Codec(),
+                 Rollouts ToRollouts = {})
       : Task(Context.ServiceTask), Settings(Settings),
-        FindPeers(std::move(FindPeers)), HttpCodec(std::move(HttpCodec)) {}
+        FindPeers(std::move(FindPeers)), HttpCodec(std::move(HttpCodec)),
+        ToRollouts(std::move(ToRollouts)) {}
 
   void start() {
     ToPeers = FindPeers();
@@ -71,8 +75,12 @@
   // Bytes of a frame reserved for the header fields of a reply and the load
   // report sent with it.
   static constexpr std::size_t FrameOverhead = 1 << 20;
+  // Interval of reports about a watched server.
+  static constexpr Common::Millis WatchInterval{250};
   // Number of calls over which the share of failed calls is smoothed.
   static constexpr double FailureWindow = 12;
+  // The HTTP status with which a server reports that the deadline has passed.
+  static constexpr int DeadlineStatus = 504;
 
   using AttemptKey = std::pair<OriginId, Routing::AttemptId>;
 
@@ -97,6 +105,10 @@
       refuse(Id, Common::ResultCode::ServiceUnknown);
       return;
     }
+    if (Watch.isClosed()) {
+      refuse(Id, Common::ResultCode::Draining);
+      return;
+    }
     act(Queue.offer(
         {.Id = Id,
          .LongLane = Opened.Request.LongLane,
@@ -132,6 +144,7 @@
     if (Event.Server.Service != Server.Service)
       act(Queue.setSlots(0, now()));
     Server = Event.Server;
+    Watch.setWarmAt(now() + Event.ColdLeft);
     Transport->useServer(Event.Address);
     act(Queue.setSlots(Server.Leaving ? 0 : Server.Slots, now()));
   }
@@ -143,6 +156,21 @@
     act(Queue.setSlots(0, now()));
   }
 
+  void onMessage(WatchServer &Event) {
+    Watch.follow(Event.Ordered);
+    if (!IsReportDue)
+      reportWatched();
+  }
+
+  void reportWatched() {
+    IsReportDue = Watch.isWatching();
+    if (!IsReportDue)
+      return;
+    ToRollouts.post(
+        ServerWatched{Watch.order(), Watch.evidence(), Calls.size()});
+    Clock.after(WatchInterval, [this] { reportWatched(); });
+  }
+
   void cancel(const AttemptKey &Key) {
     const auto Found = CallIds.find(Key);
     if (Found == CallIds.end())
@@ -208,6 +236,9 @@
         std::chrono::duration_cast<Common::Micros>(now() - Call.Started);
     const bool Failed = Reply.Result != Common::ResultCode::Ok ||
                         Reply.HttpStatus >= Routing::MinServerErrorStatus;
+    if (!Common::isNotRun(Reply.Result))
+      Watch.callEnded(Call.Request.Kind, watchedOutcome(Reply),
+                      Reply.ServiceTime, now());
     FailureShare += ((Failed ? 1.0 : 0.0) - FailureShare) / FailureWindow;
     // Hands the slot to the next call before the reply is written out.
     act(Queue.onFinished(Id, now(), endingOf(Reply.Result)));
@@ -235,6 +266,15 @@
                                     : Admission::CallOutcome::Aborted;
   }
 
+  static Rollout::Outcome watchedOutcome(const Routing::CallReply &Reply) {
+    if (Reply.Result != Common::ResultCode::Ok ||
+        Reply.HttpStatus == DeadlineStatus)
+      return Rollout::Outcome::Unanswered;
+    return Reply.HttpStatus >= Routing::MinServerErrorStatus
+               ? Rollout::Outcome::Failed
+               : Rollout::Outcome::Answered;
+  }
+
   void refuse(Admission::QueuedCallId Id, Common::ResultCode Code,
               const std::optional<Admission::WaitEstimate> &Estimate = {}) {
     const OpenCall &Call = Calls.at(Id);
@@ -304,6 +344,10 @@
   Admission::SlotQueue<Order> Queue;
   Admission::PauseDetector Pauses;
   Membership::Endpoint Server;
+  Rollouts ToRollouts;
+  Rollout::ServerWatch Watch;
+  // Whether a timer for the next report about the watched server runs.
+  bool IsReportDue = false;
   // Smoothed share of calls that failed at the server.
   double FailureShare = 0;
   std::unordered_map<Admission::QueuedCallId, OpenCall> Calls;
--- a/Source/Core/Node/MembersService.h
+++ b/Source/Core/Node/MembersService.h
@@ -24,7 +24,9 @@
           Kernel::MessageSink<MembersChanged> Claims,
           Kernel::MessageSink<AdminMessage> Admin,
           Kernel::MessageSink<AnnouncementMessage> Announcements =
-              Kernel::Address<AnnouncementMessage>>
+              Kernel::Address<AnnouncementMessage>,
+          Kernel::MessageSink<MembersChanged> Rollouts =
+              Kernel::Address<RolloutMessage>>
 class MembersService {
 public:
   using Message = MembersMessage;
@@ -36,6 +38,8 @@
     Admin ToAdmin;
     // Closed if departures do not outlive the process of this node.
     Announcements ToAnnouncements = {};
+    // Closed if services are not moved between versions.
+    Rollouts ToRollouts = {};
   };
 
   MembersService(Kernel::Context Context, const NodeSettings &Settings,
@@ -214,6 +218,7 @@
     Targets.ToConfig.post(MembersChanged{PublishedMembers});
     Targets.ToClaims.post(MembersChanged{PublishedMembers});
     Targets.ToAnnouncements.post(MembersChanged{PublishedMembers});
+    Targets.ToRollouts.post(MembersChanged{PublishedMembers});
   }
 
   void publishServers() {
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -17,6 +17,7 @@
 #include "Membership/Traffic.h"
 #include "Once/CallKey.h"
 #include "Report/CallSample.h"
+#include "Rollout/ServerWatch.h"
 #include "Routing/Call.h"
 #include "Routing/ServerView.h"
 #include "Routing/VersionPolicy.h"
@@ -35,6 +36,7 @@
 inline const std::string ClaimsName = "claims";
 inline const std::string AdminName = "admin";
 inline const std::string AnnouncementsName = "announcements";
+inline const std::string RolloutsName = "rollouts";
 
 // Identifies the connection on which a call arrived. LocalOrigin stands for
 // the ingress of this node.
@@ -126,14 +128,30 @@
   std::string Address;
   // The departure that the announcement of a leaving server stands for.
   std::optional<Membership::DepartedServer> Departed = {};
+  // How much longer the server is slow after its start.
+  Common::Millis ColdLeft{0};
 };
 struct ServerLeft {
   std::string Server;
   // Empty if departures do not outlive the process of this node.
   std::optional<Membership::DepartedServer> Departed = {};
 };
-using BackendMessage = std::variant<RequestArrived, CancelArrived, OriginLost,
-                                    ServerAnnounced, ServerLeft>;
+// What to do while the service of the local backend server is moved to another
+// version. Answered with ServerWatched at intervals until the order is empty.
+struct WatchServer {
+  Rollout::WatchOrder Ordered;
+};
+using BackendMessage =
+    std::variant<RequestArrived, CancelArrived, OriginLost, ServerAnnounced,
+                 ServerLeft, WatchServer>;
+
+// What the local backend server did since it is watched.
+struct ServerWatched {
+  Rollout::WatchOrder Followed;
+  Rollout::Evidence Counts;
+  // Calls that are running or waiting at the node.
+  std::size_t OpenCalls = 0;
+};
 
 // The configuration version that the ingress now applies.
 struct VersionInForce {
@@ -235,6 +253,9 @@
 using ClaimsMessage = std::variant<ClaimCall, ClaimedCallEnded, MembersChanged,
                                    EnvelopeArrived, EnvelopeConnectionLost>;
 
+using RolloutMessage = std::variant<MembersChanged, ServerWatched,
+                                    EnvelopeArrived, EnvelopeConnectionLost>;
+
 // The result of validating one record of the configuration log.
 struct RecordValidated {
   Config::RecordResult Result;
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -19,6 +19,7 @@
 #include "Routing/ServerRecords.h"
 #include "Routing/ServerView.h"
 #include "Routing/VersionPolicy.h"
+#include "Routing/VersionedServers.h"
 
 namespace Routing {
 
@@ -100,6 +101,7 @@
   // Never null.
   void useVersionPolicy(VersionPolicyPtr NewPolicy) {
     Versions = std::move(NewPolicy);
+    ServersByVersion.rebuild(*Servers, *Versions);
   }
 
   // Refuses all calls from now on that may still be open at Time, because this
@@ -205,6 +207,8 @@
   void open(OpenCall &&Call, Common::Micros Timeout, Common::SteadyTime Now,
             DispatchActions &Actions);
   const ServerEntry *chooseServer(const OpenCall &Call, Common::SteadyTime Now);
+  const ServerEntry *chooseAmong(const std::vector<ServerEntry> &Candidates,
+                                 const OpenCall &Call, Common::SteadyTime Now);
   void sendAttempt(OpenCall &Call, const ServerEntry &Server,
                    Common::SteadyTime Now, DispatchActions &Actions);
   CallRequest makeRequest(const OpenCall &Call, AttemptId Attempt,
@@ -249,6 +253,7 @@
   ServerViewPtr Servers = std::make_shared<const ServerView>();
   std::set<std::string> Unreachable;
   VersionPolicyPtr Versions = std::make_shared<const VersionPolicy>();
+  VersionedServers ServersByVersion;
   std::optional<Common::SteadyTime> StopsAt;
   std::unordered_map<CallId, OpenCall> Calls;
   std::unordered_map<AttemptId, OpenAttempt> Attempts;
@@ -282,6 +287,7 @@
                                              Common::SteadyTime Now) {
   Servers = std::move(NewServers);
   Records.useServers(*Servers, Now);
+  ServersByVersion.rebuild(*Servers, *Versions);
 }
 
 template <ChoicePolicy Policy, RetryBudgets Budgets>
@@ -400,18 +406,32 @@
     const auto Found = Servers->ByService.find(Name);
     if (Found == Servers->ByService.end())
       continue;
-    const std::vector<ServerEntry> &Candidates = Found->second;
-    const std::optional<std::size_t> Chosen = Choice.choose(
-        {Candidates, Records, LocalDataCentre, Call.Excluded, Now,
-         Call.Kind.Name,
-         std::chrono::duration_cast<Common::Micros>(Call.TargetTime - Now),
-         Unreachable});
-    if (Chosen)
-      return &Candidates[*Chosen];
+    DividedServers *Divided = ServersByVersion.find(Name);
+    if (!Divided) {
+      if (const ServerEntry *Chosen = chooseAmong(Found->second, Call, Now))
+        return Chosen;
+      continue;
+    }
+    for (const std::vector<ServerEntry> *Candidates : Divided->candidates())
+      if (const ServerEntry *Chosen = chooseAmong(*Candidates, Call, Now)) {
+        Divided->onChosen(*Chosen);
+        return Chosen;
+      }
   }
   return nullptr;
 }
 
+template <ChoicePolicy Policy, RetryBudgets Budgets>
+const ServerEntry *Dispatcher<Policy, Budgets>::chooseAmong(
+    const std::vector<ServerEntry> &Candidates, const OpenCall &Call,
+    Common::SteadyTime Now) {
+  const std::optional<std::size_t> Chosen = Choice.choose(
+      {Candidates, Records, LocalDataCentre, Call.Excluded, Now, Call.Kind.Name,
+       std::chrono::duration_cast<Common::Micros>(Call.TargetTime - Now),
+       Unreachable});
+  return Chosen ? &Candidates[*Chosen] : nullptr;
+}
+
 template <ChoicePolicy Policy, RetryBudgets Budgets>
 void Dispatcher<Policy, Budgets>::sendAttempt(OpenCall &Call,
                                               const ServerEntry &Server,
--- a/Source/Core/Routing/VersionPolicy.h
+++ b/Source/Core/Routing/VersionPolicy.h
@@ -16,6 +16,8 @@
   // The number of servers of the target version that take part; 0 means all.
   // Few servers under full load show what many under light load hide.
   int MaxTargetServers = 0;
+  // The part of a call to the target version that is due at first, from 0 to 1.
+  double InitialCredit = 0;
 
   bool operator==(const VersionSplit &) const = default;
 };
