--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -141,9 +141,8 @@
 struct WatchServer {
   Rollout::WatchOrder Ordered;
 };
-using BackendMessage =
-    std::variant<RequestArrived, CancelArrived, OriginLost, ServerAnnounced,
-                 ServerLeft, WatchServer>;
+using BackendMessage = std::variant<RequestArrived, CancelArrived, OriginLost,
+                                    ServerAnnounced, ServerLeft, WatchServer>;
 
 // What the local backend server did since it is watched.
 struct ServerWatched {
--- a/Source/Core/Node/RolloutService.h
+++ b/Source/Core/Node/RolloutService.h
@@ -188,14 +188,14 @@
     if (!Table.merge(Update))
       return;
     StageSince[Update.Ordered.Service] = now();
-    spdlog::info("event=rollout-stage service={} target={} position={} "
-                 "stage={} elapsed-ms={} coordinator={} reason=\"{}\"",
-                 Update.Ordered.Service, Update.Ordered.TargetVersion,
-                 Update.Ordered.Position, Rollout::stageName(Update.Reached),
-                 std::chrono::duration_cast<Common::Millis>(now() -
-                                                            Update.KnownSince)
-                     .count(),
-                 isCoordinator(), Reason);
+    spdlog::info(
+        "event=rollout-stage service={} target={} position={} "
+        "stage={} elapsed-ms={} coordinator={} reason=\"{}\"",
+        Update.Ordered.Service, Update.Ordered.TargetVersion,
+        Update.Ordered.Position, Rollout::stageName(Update.Reached),
+        std::chrono::duration_cast<Common::Millis>(now() - Update.KnownSince)
+            .count(),
+        isCoordinator(), Reason);
     apply();
     spreadNews();
   }
@@ -369,10 +369,9 @@
   void sendNews(const std::string &Node) {
     Wire::RolloutNews News{Settings.Name, isCoordinator(), {}};
     for (const auto &[Service, Known] : Table.all())
-      News.Known.push_back(
-          {Known.Ordered, Known.Reached,
-           std::chrono::duration_cast<Common::Micros>(now() -
-                                                      Known.KnownSince)});
+      News.Known.push_back({Known.Ordered, Known.Reached,
+                            std::chrono::duration_cast<Common::Micros>(
+                                now() - Known.KnownSince)});
     send(Node, News);
   }
 
--- a/Source/Core/Rollout/Evidence.cpp
+++ b/Source/Core/Rollout/Evidence.cpp
@@ -37,9 +37,8 @@
 std::size_t timeBucket(Common::Micros ServiceTime) {
   if (ServiceTime <= ShortestTime)
     return 0;
-  const double Doublings =
-      std::log2(static_cast<double>(ServiceTime.count()) /
-                static_cast<double>(ShortestTime.count()));
+  const double Doublings = std::log2(static_cast<double>(ServiceTime.count()) /
+                                     static_cast<double>(ShortestTime.count()));
   return std::min(static_cast<std::size_t>(BucketsPerDoubling * Doublings) + 1,
                   KindEvidence::BucketCount - 1);
 }
--- a/Source/Core/Rollout/Judge.cpp
+++ b/Source/Core/Rollout/Judge.cpp
@@ -49,9 +49,9 @@
                                         const KindEvidence &Base,
                                         Comparison By) {
   const std::int64_t Failed = failures(Target, By);
-  const double Allowed = AllowedFailureShare +
-                         AllowedFailureRatio *
-                             share(failures(Base, By), Base.total());
+  const double Allowed =
+      AllowedFailureShare +
+      AllowedFailureRatio * share(failures(Base, By), Base.total());
   if (Failed < MinFailures || share(Failed, Target.total()) <= Allowed)
     return std::nullopt;
   return "failed " + std::to_string(Failed) + " of " +
--- a/Source/Core/Rollout/OrderStore.h
+++ b/Source/Core/Rollout/OrderStore.h
@@ -37,11 +37,11 @@
 // Where operators leave their orders and find their statuses. All functions
 // return at once and call back later.
 template <class S>
-concept OrderStore = requires(
-    S &Store, std::int64_t Position, Common::Micros MaxWait,
-    const Status &Content, std::function<void(OrdersRead)> OnOrders,
-    std::function<void(StatusesRead)> OnStatuses,
-    std::function<void(Common::ResultCode)> OnWritten) {
+concept OrderStore =
+    requires(S &Store, std::int64_t Position, Common::Micros MaxWait,
+             const Status &Content, std::function<void(OrdersRead)> OnOrders,
+             std::function<void(StatusesRead)> OnStatuses,
+             std::function<void(Common::ResultCode)> OnWritten) {
   // The newest order of each service.
   Store.readOrders(OnOrders);
   // The orders from Position on; waits for one.
--- a/Source/Core/Rollout/Progress.cpp
+++ b/Source/Core/Rollout/Progress.cpp
@@ -14,9 +14,8 @@
 } // namespace
 
 bool isInForce(const Progress &Subject, Common::SteadyTime Now) {
-  const Common::Duration Rest = Subject.Reached == Stage::Completed
-                                    ? CompletedTime
-                                    : RolledBackTime;
+  const Common::Duration Rest =
+      Subject.Reached == Stage::Completed ? CompletedTime : RolledBackTime;
   return !isFinal(Subject.Reached) ||
          Now - Subject.KnownSince <= Subject.Ordered.Duration + Rest;
 }
@@ -41,9 +40,8 @@
   if (RankOf(Update) <= RankOf(Recorded))
     return false;
   const Common::SteadyTime KnownSince =
-      Update.Ordered.Position == Recorded.Ordered.Position
-          ? Recorded.KnownSince
-          : Update.KnownSince;
+      Update.Ordered.Position == Recorded.Ordered.Position ? Recorded.KnownSince
+                                                           : Update.KnownSince;
   Recorded = Update;
   Recorded.KnownSince = KnownSince;
   return true;
--- a/Source/Core/Rollout/ServerWatch.cpp
+++ b/Source/Core/Rollout/ServerWatch.cpp
@@ -5,7 +5,9 @@
 namespace Rollout {
 
 void ServerWatch::follow(const WatchOrder &NewOrder) {
-  if (NewOrder.Position != Followed.Position) {
+  // Another server may run beside this node now.
+  if (NewOrder.Position != Followed.Position ||
+      NewOrder.IsTarget != Followed.IsTarget) {
     Counts.clear();
     LastCalls = 0;
     FuseBlown = false;
@@ -28,8 +30,8 @@
   }
   constexpr std::uint32_t Mask = (1U << FuseCalls) - 1;
   LastCalls = (LastCalls << 1U | (End == Outcome::Failed ? 1U : 0U)) & Mask;
-  FuseBlown = FuseBlown ||
-              (Followed.IsTarget && std::popcount(LastCalls) >= FuseLimit);
+  FuseBlown =
+      FuseBlown || (Followed.IsTarget && std::popcount(LastCalls) >= FuseLimit);
 }
 
 } // namespace Rollout
--- a/Source/Core/Wire/RolloutCodec.h
+++ b/Source/Core/Wire/RolloutCodec.h
@@ -25,7 +25,8 @@
   std::vector<SentProgress> Known;
 };
 
-using RolloutEnvelope = std::variant<RolloutNews, Rollout::NodeReport, Rollout::Report>;
+using RolloutEnvelope =
+    std::variant<RolloutNews, Rollout::NodeReport, Rollout::Report>;
 
 std::string encodeRollout(const RolloutEnvelope &Content);
 // Throws FrameMalformed if Bytes cannot be decoded.
