Give each node its exact share of a roll-out's trial, and count orders from 1

Cause: capped credit gave 58 of 1,000 calls for a share of 0.06, and an order at the first position of the store was not watched at the servers, so a bad version was not found (RolloutServiceTests showed it). Change: the cap leaves the rest of the credit; positions start at 1.

--- a/Source/Core/Rollout/Order.h
+++ b/Source/Core/Rollout/Order.h
@@ -14,8 +14,8 @@
   std::string TargetVersion;
   // The time from the order in which the move has to be completed.
   Common::Micros Duration{0};
-  // The position of the order at its source. A later order for the service
-  // replaces an earlier one.
+  // The position of the order at its source, counted from 1. A later order for
+  // the service replaces an earlier one.
   std::int64_t Position = 0;
 
   bool operator==(const Order &) const = default;
--- a/Source/Core/Routing/VersionedServers.cpp
+++ b/Source/Core/Routing/VersionedServers.cpp
@@ -45,7 +45,7 @@
   if (Split.TargetShare >= 1)
     return true;
   // At most one attempt is due, so that none are made up for in a burst.
-  Credit = std::min(Credit + Split.TargetShare, 1.0);
+  Credit = std::min(Credit, 1.0) + Split.TargetShare;
   return Split.TargetShare > 0 && Credit >= 1;
 }
 
--- a/Source/UnitTests/Node/RolloutServiceTests.cpp
+++ b/Source/UnitTests/Node/RolloutServiceTests.cpp
@@ -34,7 +34,7 @@
       Read.Code = Shared->IsAway ? ResultCode::LogUnavailable : ResultCode::Ok;
       Read.Next = static_cast<std::int64_t>(Shared->Orders.size());
       for (const Rollout::Order &Entry : Shared->Orders)
-        if (!Shared->IsAway && Entry.Position >= Position)
+        if (!Shared->IsAway && Entry.Position > Position)
           Read.Orders.push_back(Entry);
       OnDone(Read);
     });
@@ -194,7 +194,7 @@
   }
   void order() {
     Worker.runAndWait([this] {
-      Store.Orders.push_back({"s", "v2", Millis(14'000), 0});
+      Store.Orders.push_back({"s", "v2", Millis(14'000), 1});
     });
   }
   // The share of calls to the new version at all nodes that run.
