Route and queue calls by their expected cost

Cause: requests that look alike cost servers very different amounts of work, and servers of one service differ in speed. Choice and queue counted calls and used the mean slot time of a kind.

Change, only for sets with tenants or large bodies (hasUnevenWork): - CostModel learns the cost of a call by kind and body size, at usual speed; requests state it. - ServerSpeed learns the speed of the server beside a node from answers, and follows what the server states of its machine. Answers and load reports tell the work left for each slot and the slowness; a new field on the wire each. - ExpectedTimeChoice uses both. A call leaves its data centre only for a server with a recent report that takes half as long; probes are one a kind each second instead of 4% of the calls. - A call that would miss its target everywhere asks only the best server; one that would miss its deadline is refused at once. Retry-After is spread. - A request that waits for a connection is refused as not run after a quarter of its target (100 to 300 ms): nothing has left the node by then.

--- a/Source/Core/Admission/SlotQueue.h
+++ b/Source/Core/Admission/SlotQueue.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 
+#include "Admission/ServerSpeed.h"
 #include "Admission/SlotEstimate.h"
 #include "Admission/WaitingOrder.h"
 #include "Routing/Call.h"
@@ -30,6 +31,19 @@
 
   // Announced slots that the estimate considers unusable count as busy.
   Routing::ServerLoad load() const;
+  // The expected time of the work that is left of all calls, divided by the
+  // slots; 0 if unknown.
+  Common::Micros backlog(Common::SteadyTime Now) const {
+    if constexpr (requires { Waiting.backlog(slotUse(), Now); })
+      return Waiting.backlog(slotUse(), Now);
+    return Common::Micros(0);
+  }
+  // The speed of the server, if the order learns it.
+  ServerSpeed *speed() {
+    if constexpr (requires { Waiting.speed(); })
+      return &Waiting.speed();
+    return nullptr;
+  }
   bool isIdle() const { return Running.empty() && Waiting.size() == 0; }
 
 private:
--- a/Source/Core/Admission/ValueOrder.cpp
+++ b/Source/Core/Admission/ValueOrder.cpp
@@ -19,6 +19,8 @@
 // of the mean of the waiting kinds. The fraction is below 1, so that latency
 // targets determine the order as long as no kind is far behind.
 constexpr double MinShareFraction = 0.5;
+// The least share of its expected time that a running call is assumed to need.
+constexpr double MinRemainingShare = 0.2;
 
 } // namespace
 
@@ -27,6 +29,7 @@
   const bool MayRunNow = Waiting.empty() && Use.hasFreeSlot();
   if (Waiting.empty())
     NonEmptySince = Now;
+  KnowsCosts = KnowsCosts || Call.ExpectedCost.count() > 0;
   Waiting.push_back({Call});
   if (MayRunNow)
     return;
@@ -79,7 +82,7 @@
   QueuedCall Next = std::move(First->Call);
   Waiting.erase(First);
   Shares.charge(Next.Kind, Next.TargetLatency,
-                Times.expected(Next.Kind).value_or(MeanSlotTime), Now);
+                expectedServiceTimeOr(Next, MeanSlotTime), Now);
   return Next;
 }
 
@@ -123,6 +126,8 @@
 void ValueOrder::recordOutcome(const QueuedCall &Call,
                                Common::Micros ServiceTime,
                                CallOutcome Outcome) {
+  if (Outcome == CallOutcome::Answered)
+    Speed.onAnswered(Call.ExpectedCost, ServiceTime);
   if (Outcome == CallOutcome::NotRun ||
       (Outcome == CallOutcome::Aborted &&
        ServiceTime <= expectedServiceTime(Call)))
@@ -134,7 +139,47 @@
 }
 
 Common::Micros ValueOrder::expectedServiceTime(const QueuedCall &Call) const {
-  return Times.expected(Call.Kind).value_or(Common::Micros(0));
+  return expectedServiceTimeOr(Call, Common::Micros(0));
+}
+
+Common::Micros ValueOrder::expectedServiceTimeOr(const QueuedCall &Call,
+                                                 Common::Micros Default) const {
+  if (Call.ExpectedCost.count() > 0)
+    return std::chrono::duration_cast<Common::Micros>(Speed.usual() *
+                                                      Call.ExpectedCost);
+  return Times.expected(Call.Kind).value_or(Default);
+}
+
+// Few calls take many times the expected time: the longer a call has outlived
+// it, the more is expected to be left.
+Common::Micros ValueOrder::remainingTime(const RunningCall &Call,
+                                         Common::SteadyTime Now) const {
+  const Common::Micros Expected =
+      expectedServiceTimeOr(Call.Admitted, MeanSlotTime);
+  const auto Elapsed =
+      std::chrono::duration_cast<Common::Micros>(Now - Call.StartedAt);
+  const auto ToDeadline =
+      std::chrono::duration_cast<Common::Micros>(Call.Admitted.Deadline - Now);
+  const auto Least =
+      std::chrono::duration_cast<Common::Micros>(MinRemainingShare * Expected);
+  return std::max(
+      Common::Micros(0),
+      std::min(ToDeadline,
+               std::max(Least, std::chrono::abs(Expected - Elapsed))));
+}
+
+Common::Micros ValueOrder::backlog(const SlotUse &Use,
+                                   Common::SteadyTime Now) const {
+  if (!KnowsCosts)
+    return Common::Micros(0);
+  Common::Micros Sum{0};
+  for (const auto &[Id, Call] : Use.Running)
+    Sum += remainingTime(Call, Now);
+  for (const WaitingCall &Entry : Waiting)
+    Sum += expectedServiceTimeOr(Entry.Call, MeanSlotTime);
+  // Other users of the machine slow down what runs and what waits alike.
+  return std::chrono::duration_cast<Common::Micros>(
+      Speed.current(Now) / Speed.usual() * Sum / std::max(Use.Slots, 1));
 }
 
 bool ValueOrder::isOverloaded(Common::SteadyTime Now) const {
@@ -188,7 +233,7 @@
   Common::Micros WorkAhead{0};
   for (const WaitingCall &Entry : Waiting)
     if (precedes(Entry, Arriving, Now)) {
-      WorkAhead += Times.expected(Entry.Call.Kind).value_or(MeanSlotTime);
+      WorkAhead += expectedServiceTimeOr(Entry.Call, MeanSlotTime);
       ++Result.Ahead;
     }
   if (!Use.hasFreeSlot())
--- a/Source/Core/Admission/ValueOrder.h
+++ b/Source/Core/Admission/ValueOrder.h
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "Admission/ServerSpeed.h"
 #include "Admission/ServiceTimes.h"
 #include "Admission/SlotShares.h"
 #include "Admission/WaitingOrder.h"
@@ -39,6 +40,10 @@
                      CallOutcome Outcome);
   std::size_t size() const { return Waiting.size(); }
   Common::Micros slotTime() const { return MeanSlotTime; }
+  // The expected time of the work that is left of all calls, divided by the
+  // slots; 0 if no call stated its expected cost yet.
+  Common::Micros backlog(const SlotUse &Use, Common::SteadyTime Now) const;
+  ServerSpeed &speed() { return Speed; }
 
 private:
   struct WaitingCall {
@@ -47,7 +52,13 @@
     bool HasShareDeficit = false;
   };
 
+  // By the expected cost of the call, or else by its kind; 0 if neither is
+  // known.
   Common::Micros expectedServiceTime(const QueuedCall &Call) const;
+  Common::Micros expectedServiceTimeOr(const QueuedCall &Call,
+                                       Common::Micros Default) const;
+  Common::Micros remainingTime(const RunningCall &Call,
+                               Common::SteadyTime Now) const;
   bool isOverloaded(Common::SteadyTime Now) const;
   bool meetsTarget(const QueuedCall &Call, Common::SteadyTime Now) const;
   bool precedes(const WaitingCall &Left, const WaitingCall &Right,
@@ -65,6 +76,9 @@
   std::vector<WaitingCall> Waiting;
   ServiceTimes Times;
   SlotShares Shares;
+  ServerSpeed Speed;
+  // Whether a call stated its expected cost.
+  bool KnowsCosts = false;
   // The start of the current period without an empty queue.
   std::optional<Common::SteadyTime> NonEmptySince;
   // The smoothed time that calls of all kinds hold a slot.
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -187,6 +187,8 @@
 
   void onServerReply(Admission::QueuedCallId Id, Http::ClientResult &Result) {
     const OpenCall &Call = Calls.at(Id);
+    if (Result.Answered)
+      noteSlowness(Result.Reply);
     Routing::CallReply Reply;
     Reply.HttpStatus = Result.Reply.Status;
     if (!Result.Answered) {
@@ -216,10 +218,22 @@
     finishDrainIfIdle();
   }
 
-  Routing::ServerLoad load() const {
+  // Some backend servers state how long work takes on their machine.
+  void noteSlowness(const Http::Response &Reply) {
+    if constexpr (requires { HttpCodec.statedSlowness(Reply); })
+      if (const auto Percent = HttpCodec.statedSlowness(Reply);
+          Percent && Queue.speed())
+        Queue.speed()->onStated(*Percent, now());
+  }
+
+  Routing::ServerLoad load() {
     constexpr int Hundred = 100;
     Routing::ServerLoad Result = Queue.load();
     Result.FailurePercent = static_cast<int>(FailureShare * Hundred);
+    Result.Backlog = Queue.backlog(now());
+    if (Queue.speed() && Queue.speed()->isKnown())
+      Result.SlownessPercent =
+          static_cast<int>(Queue.speed()->current(now()) * Hundred);
     return Result;
   }
 
@@ -245,13 +259,14 @@
         "event=attempt-refused id={} kind={} server={} code={} {} "
         "busy={}/{} waiting={} slot-time-us={} remaining-us={} target-us={} "
         "waited-us={} expected-wait-us={} ahead={} expected-slots={:.1f} "
-        "typical-slot-time-us={}",
+        "typical-slot-time-us={} expected-cost-us={} backlog-us={}",
         Call.Request.CorrelationId, Call.Request.Kind, Server.Server,
         Common::resultCodeNumber(Code), Common::resultCodeName(Code),
         Load.BusySlots, Load.Slots, Load.Queued, Load.SlotTime.count(),
         micros(Call.Deadline - now()), Call.Request.TargetLatency.count(),
         micros(now() - Call.Arrived), Expected.Wait.count(), Expected.Ahead,
-        Expected.Slots, Expected.ExpectedServiceTime.count());
+        Expected.Slots, Expected.ExpectedServiceTime.count(),
+        Call.Request.ExpectedCost.count(), Queue.backlog(now()).count());
     Routing::CallReply Reply;
     Reply.Result = Code;
     reply(Id, std::move(Reply));
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -238,8 +238,8 @@
       spdlog::info("event=additional-attempt id={} number={} server={} node={}",
                    Action.Request.CorrelationId, Action.AttemptNumber,
                    Action.Request.Server, Action.Node);
-    const auto Posted = Targets.ToPeers.post(
-        SendRequest{Action.Node, Action.Request, Action.DataCentre});
+    const auto Posted = Targets.ToPeers.post(SendRequest{
+        Action.Node, Action.Request, Action.DataCentre, Action.ConnectLimit});
     if (Posted == Kernel::PostResult::Accepted)
       return;
     Routing::CallReply Refused;
@@ -269,7 +269,7 @@
         "data-centre={} "
         "attempts={} result={} {} status={} took-us={} queue-us={} "
         "slot-us={} busy={}/{} waiting={} limit-us={} low-quantile-us={} "
-        "unrouted={}",
+        "unrouted={} expected-cost-us={} backlog-us={} slowness={}%",
         Call.CorrelationId, Call.Caller, Answer.ConfigVersion, Answer.Service,
         Answer.Kind, Answer.Reply.Server, Answer.DataCentre, Answer.Attempts,
         Common::resultCodeNumber(Answer.Reply.Result),
@@ -280,7 +280,8 @@
         Answer.Reply.Load.BusySlots, Answer.Reply.Load.Slots,
         Answer.Reply.Load.Queued, Answer.Timeout.count(),
         Answer.LowQuantileLatency.value_or(Common::Micros(0)).count(),
-        Answer.UnroutedPath);
+        Answer.UnroutedPath, Answer.ExpectedCost.count(),
+        Answer.Reply.Load.Backlog.count(), Answer.Reply.Load.SlownessPercent);
   }
 
   // Answers a call that never reached the dispatcher.
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -90,6 +90,9 @@
   Routing::CallRequest Request;
   // The data centre of the node; empty if unknown.
   std::string DataCentre = {};
+  // The request is refused as not run if there is no connection to the node
+  // within this time.
+  std::optional<Common::Micros> ConnectLimit = {};
 };
 struct SendCancel {
   Routing::NodeAddress Address;
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -72,6 +72,9 @@
     Membership::EchoMonitor Monitor;
     std::unordered_set<Routing::AttemptId> PendingAttempts;
     bool WasConnected = false;
+    // When the attempt to connect is given up; empty if only its own timeout
+    // ends it.
+    std::optional<Common::SteadyTime> ConnectBy;
     // Empty if it is that of this node, or unknown.
     std::string DataCentre;
   };
@@ -104,6 +107,9 @@
     OutboundConnection &Connection =
         outbound(Command.Address, otherDataCentre(Command.DataCentre));
     Connection.PendingAttempts.insert(Command.Request.Attempt);
+    if (Command.ConnectLimit && !Connection.WasConnected &&
+        !Connection.ConnectBy)
+      Connection.ConnectBy = now() + *Command.ConnectLimit;
     Connection.Socket->send(Wire::encodeFrame(Command.Request));
   }
 
@@ -193,6 +199,7 @@
                                     Membership::EchoMonitor(Limits, now()),
                                     {},
                                     false,
+                                    {},
                                     DataCentre})
         .first->second;
   }
@@ -364,7 +371,13 @@
 
   void checkOutbound() {
     std::vector<Routing::NodeAddress> TimedOut;
+    std::vector<Routing::NodeAddress> NeverConnected;
     for (auto &[Address, Connection] : Outbound) {
+      if (!Connection.WasConnected && Connection.ConnectBy &&
+          now() >= *Connection.ConnectBy) {
+        NeverConnected.push_back(Address);
+        continue;
+      }
       // When one node of a data centre is silent, all its nodes are asked.
       const bool InDoubt = Reachability.state(Connection.DataCentre) ==
                            Membership::DataCentreReachability::State::InDoubt;
@@ -378,6 +391,8 @@
     }
     for (const Routing::NodeAddress &Address : TimedOut)
       onOutboundLost(Address, "echo timed out");
+    for (const Routing::NodeAddress &Address : NeverConnected)
+      onOutboundLost(Address, "no connection in time");
   }
 
   // The remote end sends echoes even on an idle connection. When it closes this
--- a/Source/Core/Routing/Call.h
+++ b/Source/Core/Routing/Call.h
@@ -66,6 +66,9 @@
   // The expected time of all work that is running or waiting, divided by the
   // slots; 0 if unknown.
   Common::Micros Backlog{0};
+  // How long work takes at the server at this moment, in percent of a server of
+  // usual speed; 0 if unknown.
+  int SlownessPercent = 0;
 };
 
 // HTTP statuses from this one on are server errors.
--- a/Source/Core/Routing/ChoicePolicy.h
+++ b/Source/Core/Routing/ChoicePolicy.h
@@ -30,6 +30,12 @@
   Common::Micros TargetTimeLeft = Common::Micros(0);
   // Data centres whose servers must not be chosen.
   const std::set<std::string> &Unreachable = NoDataCentres;
+  // Whether calls of one kind differ in work, so that their expected cost
+  // counts.
+  bool HasUnevenWork = false;
+  // How long the call is expected to hold a slot of a server of usual speed; 0
+  // if unknown.
+  Common::Micros ExpectedCost = Common::Micros(0);
 
   bool mayChoose(const ServerEntry &Server) const {
     return !Excluded.contains(Server.Server) &&
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <memory>
+#include <numbers>
 #include <optional>
 #include <set>
 #include <string>
@@ -14,6 +16,7 @@
 #include "Config/ObjectSet.h"
 #include "Routing/Call.h"
 #include "Routing/ChoicePolicy.h"
+#include "Routing/CostModel.h"
 #include "Routing/RecentLatency.h"
 #include "Routing/RetryBudgets.h"
 #include "Routing/ServerRecords.h"
@@ -45,6 +48,9 @@
   // Starts at 1 and includes attempts that server-side nodes refused.
   int AttemptNumber = 1;
   std::string DataCentre = {};
+  // The attempt is refused as not run if there is no connection to the node
+  // within this time.
+  std::optional<Common::Micros> ConnectLimit = {};
 };
 struct CancelAttempt {
   NodeAddress Node;
@@ -67,6 +73,9 @@
   std::optional<Common::Micros> LowQuantileLatency;
   // Host and path of a call that matches no route.
   std::string UnroutedPath;
+  // How long the call was expected to hold a slot of a server of usual speed; 0
+  // if unknown.
+  Common::Micros ExpectedCost{0};
   // How long a refused caller should wait before it retries.
   std::optional<Common::Micros> RetryAfter;
 };
@@ -151,6 +160,10 @@
     // The point in time at which the latency target is missed, or the deadline
     // if there is no target. An answer before that is worth most.
     Common::SteadyTime TargetTime;
+    // Whether calls of one kind differ in work.
+    bool HasUnevenWork = false;
+    // How long the call is expected to hold a slot of a server of usual speed.
+    Common::Micros ExpectedCost{0};
     // Servers whose nodes refused the call because it would have had to wait.
     std::set<std::string> BusyServers;
     // The shortest wait estimated from the load that refusing nodes reported.
@@ -193,6 +206,13 @@
   // Bounds of the time after which a refused caller may retry.
   static constexpr Common::Millis MinRetryAfter{100};
   static constexpr Common::Millis MaxRetryAfter{1'000};
+  // Age up to which a report decides that a call would wait everywhere.
+  static constexpr Common::Millis WaitReportLifetime{500};
+  // With no connection within the latency target divided by this, between the
+  // bounds, another node is tried.
+  static constexpr int ConnectLimitDivisor = 4;
+  static constexpr Common::Millis MinConnectLimit{100};
+  static constexpr Common::Millis MaxConnectLimit{300};
   // Bytes of the host and path that are reported for a call without a route.
   static constexpr std::size_t MaxUnroutedPathLength = 200;
   // Services further down the call chain may not retry on behalf of a retry.
@@ -234,6 +254,14 @@
   bool retryServerError(OpenCall &Call, const CallReply &Reply,
                         Common::SteadyTime Now, DispatchActions &Actions);
   std::optional<Common::Micros> waitLimit(const OpenCall &Call) const;
+  // Prepares a call for the best server, of which a report says how long the
+  // call would wait there. Returns false if it cannot end in time.
+  bool admitsByWait(OpenCall &Call, const ServerEntry &Server,
+                    Common::SteadyTime Now) const;
+  static std::optional<Common::Micros> connectLimit(const OpenCall &Call);
+  // How long the refused caller should wait.
+  static Common::Micros retryAfter(const OpenCall &Call);
+  void learnCost(const OpenCall &Call, const CallReply &Reply);
   static bool isNodeRefusal(Common::ResultCode Code);
   static Common::Micros estimateWait(const ServerLoad &Load);
   BudgetUse budgetUse(const OpenCall &Call) const {
@@ -256,6 +284,9 @@
   DueTimes Deadlines;
   DueTimes Hedges;
   ServerRecords Records;
+  CostModel Costs;
+  // Whether the active set declares differences in work within a kind.
+  bool HasUnevenWork = false;
   std::unordered_map<std::string, KindRecord> Kinds;
   Budgets AttemptBudgets;
   // Round robin credit of each service of a split, by route and service.
@@ -275,6 +306,8 @@
     return !Set->routes().contains(Entry.first);
   });
   Records.useKinds(Set->kinds());
+  Costs.useKinds(Set->kinds());
+  HasUnevenWork = Set->hasUnevenWork();
 }
 
 template <ChoicePolicy Policy, RetryBudgets Budgets>
@@ -320,6 +353,9 @@
     Refusal.Kind = std::move(Call.Kind.Name);
     return Refuse(*Code);
   }
+  Call.HasUnevenWork = HasUnevenWork;
+  if (HasUnevenWork)
+    Call.ExpectedCost = Costs.expected(Call.Kind.Name, Start.Body.size());
   Call.Start = std::move(Start);
   open(std::move(Call), Timeout, Now, Actions);
   return Actions;
@@ -364,6 +400,10 @@
     fail(Id, Common::ResultCode::NoLiveServer, Actions);
     return;
   }
+  if (Opened.HasUnevenWork && !admitsByWait(Opened, *Server, Now)) {
+    fail(Id, Common::ResultCode::DeadlineTooClose, Actions);
+    return;
+  }
   sendAttempt(Opened, *Server, Now, Actions);
   armHedge(Opened, Now);
 }
@@ -405,7 +445,7 @@
         {Candidates, Records, LocalDataCentre, Call.Excluded, Now,
          Call.Kind.Name,
          std::chrono::duration_cast<Common::Micros>(Call.TargetTime - Now),
-         Unreachable});
+         Unreachable, Call.HasUnevenWork, Call.ExpectedCost});
     if (Chosen)
       return &Candidates[*Chosen];
   }
@@ -431,7 +471,7 @@
   Request.Server = Server.Server;
   Actions.push_back(SendAttempt{Server.Node, std::move(Request),
                                 Call.AttemptsMade + Call.Redirects,
-                                Server.DataCentre});
+                                Server.DataCentre, connectLimit(Call)});
 }
 
 template <ChoicePolicy Policy, RetryBudgets Budgets>
@@ -455,6 +495,7 @@
       std::chrono::duration_cast<Common::Micros>(Call.TargetTime - Now);
   Request.TargetLatency = Call.Kind.TargetLatency;
   Request.Priority = Call.Kind.Priority;
+  Request.ExpectedCost = Call.ExpectedCost;
   Request.WaitLimit = waitLimit(Call);
   Request.LongLane = Call.Kind.LongLane;
   Request.Idempotent = Call.Kind.Idempotent;
@@ -552,6 +593,7 @@
     return;
   if (Reply.Result == Common::ResultCode::Ok) {
     recordLatency(Call, *FinishedAttempt, Now);
+    learnCost(Call, Reply);
     cancelInFlight(Call, Now, Actions);
     finish(FinishedAttempt->Call, Reply, Actions);
     return;
@@ -565,6 +607,56 @@
     retryOrFinish(Call, Reply, Now, Actions);
 }
 
+// Load pattern: all servers within reach have more work than fits in the
+// latency target. The best of them is the only one worth asking: each redirect
+// would cost two nodes the time of a call and find no free slot. The
+// server-side node still decides, as it knows which kinds are behind.
+template <ChoicePolicy Policy, RetryBudgets Budgets>
+bool Dispatcher<Policy, Budgets>::admitsByWait(OpenCall &Call,
+                                               const ServerEntry &Server,
+                                               Common::SteadyTime Now) const {
+  const ServerRecord *Record = Records.find(Server.Server);
+  const auto Wait =
+      Record ? Record->reportedWait(Now, WaitReportLifetime) : std::nullopt;
+  if (!Wait || Call.Rule.Redirects == 0 || Now + *Wait <= Call.TargetTime)
+    return true;
+  Call.IsLastRedirect = true;
+  Call.MinWait = *Wait;
+  return Now + *Wait < Call.Deadline;
+}
+
+template <ChoicePolicy Policy, RetryBudgets Budgets>
+std::optional<Common::Micros>
+Dispatcher<Policy, Budgets>::connectLimit(const OpenCall &Call) {
+  if (!Call.HasUnevenWork || Call.Rule.Redirects == 0)
+    return std::nullopt;
+  return std::clamp<Common::Micros>(Call.Kind.TargetLatency /
+                                        ConnectLimitDivisor,
+                                    MinConnectLimit, MaxConnectLimit);
+}
+
+// Callers that are refused together would also return together: the golden
+// ratio distributes successive calls evenly over a second wait.
+template <ChoicePolicy Policy, RetryBudgets Budgets>
+Common::Micros Dispatcher<Policy, Budgets>::retryAfter(const OpenCall &Call) {
+  const auto Wait = std::clamp<Common::Micros>(
+      Call.MinWait.value_or(Common::Micros(0)), MinRetryAfter, MaxRetryAfter);
+  if (!Call.HasUnevenWork)
+    return Wait;
+  const double Turns =
+      static_cast<double>(Call.Start.Call) * std::numbers::phi_v<double>;
+  return Wait + std::chrono::duration_cast<Common::Micros>(
+                    (Turns - std::floor(Turns)) * Wait);
+}
+
+template <ChoicePolicy Policy, RetryBudgets Budgets>
+void Dispatcher<Policy, Budgets>::learnCost(const OpenCall &Call,
+                                            const CallReply &Reply) {
+  if (Call.HasUnevenWork && Reply.HttpStatus < MinServerErrorStatus)
+    Costs.addSample({Call.Kind.Name, Call.Start.Body.size(), Reply.ServiceTime,
+                     Reply.Load.SlownessPercent});
+}
+
 // Whether the node itself refused, so that nothing reached its backend server.
 template <ChoicePolicy Policy, RetryBudgets Budgets>
 bool Dispatcher<Policy, Budgets>::isNodeRefusal(Common::ResultCode Code) {
@@ -800,9 +892,8 @@
   Answer.Timeout = std::chrono::duration_cast<Common::Micros>(
       Finished.Deadline - Finished.StartedAt);
   if (Common::isNotRun(Reply.Result))
-    Answer.RetryAfter =
-        std::clamp<Common::Micros>(Finished.MinWait.value_or(Common::Micros(0)),
-                                   MinRetryAfter, MaxRetryAfter);
+    Answer.RetryAfter = retryAfter(Finished);
+  Answer.ExpectedCost = Finished.ExpectedCost;
   Answer.Reply = std::move(Reply);
   Answer.Service = std::move(Finished.Service);
   Answer.Kind = std::move(Finished.Kind.Name);
--- a/Source/Core/Routing/ExpectedTimeChoice.cpp
+++ b/Source/Core/Routing/ExpectedTimeChoice.cpp
@@ -40,6 +40,15 @@
 // Distributes the calls of caller-side nodes that have the same reports among
 // equal servers.
 constexpr double Jitter = 0.1;
+// A call leaves its data centre if it is expected to be answered elsewhere
+// within this share of the local time. The rest covers the age of the reports.
+constexpr double RemoteShareOfLocal = 0.5;
+// Age up to which a report from another data centre counts.
+constexpr Common::Millis RemoteReportLifetime{1'000};
+// Interval of the probes of another data centre for each kind.
+constexpr Common::Millis ProbeInterval{1'000};
+constexpr std::size_t MaxProbedKinds = 256;
+constexpr double UsualPercent = 100;
 
 double decay(Common::Duration Age, Seconds HalfLife) {
   return std::exp2(-Seconds(Age) / HalfLife);
@@ -64,6 +73,20 @@
          TypicalFromOthers * (1 - Freshness);
 }
 
+// How long work takes at the server compared with one of usual speed. The
+// report loses its weight with its age.
+double slowness(const ServerRecord &Record, Common::SteadyTime Now) {
+  if (Record.ReportedLoad.SlownessPercent <= 0)
+    return 1;
+  const double Reported = Record.ReportedLoad.SlownessPercent / UsualPercent;
+  return 1 + (Reported - 1) * decay(Now - Record.ReportedAt, SpeedHalfLife);
+}
+
+bool isKnown(const ServerRecord &Record, Common::SteadyTime Now) {
+  return Record.ReportedLoad.Slots > 0 &&
+         Now - Record.ReportedAt <= RemoteReportLifetime;
+}
+
 Seconds failureCost(const ServerRecord &Record, Common::SteadyTime Now) {
   const double Share = Record.ReportedLoad.FailurePercent / 100.0 *
                        decay(Now - Record.ReportedAt, SpeedHalfLife);
@@ -125,13 +148,17 @@
   if (Stats && Stats->SlotTime.count() > 0)
     SlotTime += (Seconds(Stats->SlotTime) - Typical.SlotTime) *
                 decay(Input.Now - Stats->MeasuredAt, SpeedHalfLife);
+  if (Input.ExpectedCost.count() > 0)
+    SlotTime = Seconds(Input.ExpectedCost) * slowness(*Record, Input.Now);
   const double Slots = std::max(Server.Slots, 1);
   const double Pending = estimatePending(*Record, Typical.Pending, Input.Now);
   const double CallsAhead = std::max(0.0, Pending - Slots + 1);
   const double Crowding = std::min(Pending / Slots, 1.0);
-  const Seconds TimePerCallAhead = Record->ReportedLoad.SlotTime.count() > 0
-                                       ? Seconds(Record->ReportedLoad.SlotTime)
-                                       : Typical.SlotTime;
+  Seconds TimePerCallAhead = Record->ReportedLoad.SlotTime.count() > 0
+                                 ? Seconds(Record->ReportedLoad.SlotTime)
+                                 : Typical.SlotTime;
+  if (Input.HasUnevenWork && Record->workPerCall().count() > 0)
+    TimePerCallAhead = Record->workPerCall();
   std::uniform_real_distribution<double> JitterFactor(1, 1 + Jitter);
   return Cost + failureCost(*Record, Input.Now) +
          JitterFactor(Random) *
@@ -155,9 +182,63 @@
   return Best;
 }
 
+std::optional<ExpectedTimeChoice::Candidate>
+ExpectedTimeChoice::bestKnown(const ChoiceInput &Input,
+                              const TypicalLoad &Typical) {
+  std::optional<Candidate> Best;
+  for (std::size_t Index = 0; Index < Input.Servers.size(); ++Index) {
+    const ServerEntry &Server = Input.Servers[Index];
+    const ServerRecord *Record = Input.Records.find(Server.Server);
+    if (Server.DataCentre == Input.LocalDataCentre ||
+        !Input.mayChoose(Server) || !Record || !isKnown(*Record, Input.Now))
+      continue;
+    const Seconds Cost = expectedTime(Input, Server, Typical);
+    if (!Best || Cost < Best->Cost)
+      Best = Candidate{Index, Cost};
+  }
+  return Best;
+}
+
+bool ExpectedTimeChoice::takeProbe(const ChoiceInput &Input) {
+  if (LastProbe.size() >= MaxProbedKinds && !LastProbe.contains(Input.Kind))
+    LastProbe.clear();
+  const auto [Last, IsNew] = LastProbe.try_emplace(Input.Kind, Input.Now);
+  if (!IsNew && Input.Now - Last->second < ProbeInterval)
+    return false;
+  Last->second = Input.Now;
+  return true;
+}
+
+std::optional<std::size_t>
+ExpectedTimeChoice::chooseByCost(const ChoiceInput &Input,
+                                 const TypicalLoad &Typical) {
+  const auto LocalBest = best(Input, true, Typical);
+  if (!LocalBest) {
+    const auto RemoteBest = best(Input, false, Typical);
+    return RemoteBest ? std::optional(RemoteBest->Index) : std::nullopt;
+  }
+  const Seconds Left(Input.TargetTimeLeft);
+  // Once the target is missed, a call of less value is not worth the bytes.
+  if (Left <= Seconds(0) || LocalBest->Cost < LocalShareOfTarget * Left)
+    return LocalBest->Index;
+  const ServerRecord *Record =
+      Input.Records.find(Input.Servers[LocalBest->Index].Server);
+  // The local servers may be gone although members still list them.
+  const bool LocalFails = Record && Record->ConsecutiveFailures > 0;
+  const bool MayGo = LocalFails || takeProbe(Input);
+  const auto RemoteBest =
+      MayGo ? best(Input, false, Typical) : bestKnown(Input, Typical);
+  const double Share = MayGo ? 1 : RemoteShareOfLocal;
+  return RemoteBest && RemoteBest->Cost < Share * LocalBest->Cost
+             ? RemoteBest->Index
+             : LocalBest->Index;
+}
+
 std::optional<std::size_t>
 ExpectedTimeChoice::choose(const ChoiceInput &Input) {
   const TypicalLoad Typical = typicalLoad(Input);
+  if (Input.HasUnevenWork)
+    return chooseByCost(Input, Typical);
   const auto LocalBest = best(Input, true, Typical);
   if (LocalBest &&
       LocalBest->Cost < LocalShareOfTarget * Seconds(Input.TargetTimeLeft))
--- a/Source/Core/Routing/ExpectedTimeChoice.h
+++ b/Source/Core/Routing/ExpectedTimeChoice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <random>
 
 #include "Routing/ChoicePolicy.h"
@@ -13,6 +14,12 @@
 // only if the local data centre isn't expected to answer well within the
 // latency target.
 //
+// Where calls of one kind differ in work, the expected cost of the call and the
+// reported work left at each server replace means over many calls. A call then
+// leaves its data centre only for a server that is known to have much less
+// work: when all are overloaded, sending calls around moves bytes and serves no
+// more.
+//
 // Load pattern: each data centre has few servers, whose speeds differ and
 // change, and the demand of the data centres varies independently.
 class ExpectedTimeChoice {
@@ -40,8 +47,18 @@
                                 const TypicalLoad &Typical);
   Seconds expectedTime(const ChoiceInput &Input, const ServerEntry &Server,
                        const TypicalLoad &Typical);
+  // Chooses for calls that differ in work.
+  std::optional<std::size_t> chooseByCost(const ChoiceInput &Input,
+                                          const TypicalLoad &Typical);
+  // The best server of another data centre that has a recent report.
+  std::optional<Candidate> bestKnown(const ChoiceInput &Input,
+                                     const TypicalLoad &Typical);
+  // Whether a call of the kind should go to another data centre whatever it
+  // costs, so that there is a report from there.
+  bool takeProbe(const ChoiceInput &Input);
 
   std::mt19937_64 Random;
+  std::map<std::string, Common::SteadyTime> LastProbe;
 };
 
 static_assert(ChoicePolicy<ExpectedTimeChoice>);
--- a/Source/Core/Routing/ServerRecords.cpp
+++ b/Source/Core/Routing/ServerRecords.cpp
@@ -73,6 +73,26 @@
 
 } // namespace
 
+Common::Micros ServerRecord::workPerCall() const {
+  const int Pending = ReportedLoad.Queued + ReportedLoad.BusySlots;
+  return ReportedLoad.Backlog * std::max(ReportedLoad.Slots, 1) /
+         std::max(Pending, 1);
+}
+
+std::optional<Common::Micros>
+ServerRecord::reportedWait(Common::SteadyTime Now,
+                           Common::Duration MaxAge) const {
+  const ServerLoad &Load = ReportedLoad;
+  const Common::Duration Age = Now - ReportedAt;
+  if (Load.Slots <= 0 || Load.Backlog.count() <= 0 || Age > MaxAge)
+    return std::nullopt;
+  const int CallsAhead = Load.Queued + Load.BusySlots - Load.Slots + 1;
+  const Common::Micros Wait =
+      workPerCall() * std::max(CallsAhead, 0) / Load.Slots;
+  return std::max(Common::Micros(0),
+                  Wait - std::chrono::duration_cast<Common::Micros>(Age));
+}
+
 const KindStats *ServerRecord::kind(const std::string &Name) const {
   const auto Found = Kinds.find(Name);
   return Found == Kinds.end() ? nullptr : &Found->second;
--- a/Source/Core/Routing/ServerRecords.h
+++ b/Source/Core/Routing/ServerRecords.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -43,6 +44,15 @@
   Common::SteadyTime EjectedUntil;
   bool OnProbation = false;
 
+  // The expected time of the work that is left of one of the calls at the
+  // server; 0 if unknown.
+  Common::Micros workPerCall() const;
+  // The time that a new call would wait for a slot by the last report, as far
+  // as it has not passed since. Empty if the report is older than MaxAge or
+  // does not tell.
+  std::optional<Common::Micros> reportedWait(Common::SteadyTime Now,
+                                             Common::Duration MaxAge) const;
+
   // Null if no call of the kind was sent to the server yet.
   const KindStats *kind(const std::string &Name) const;
 };
--- a/Source/Core/Wire/Codec.cpp
+++ b/Source/Core/Wire/Codec.cpp
@@ -70,6 +70,7 @@
   Part.SlotMicros = From.Load.SlotTime.count();
   Part.FailurePercent = From.Load.FailurePercent;
   Part.BacklogMicros = From.Load.Backlog.count();
+  Part.SlownessPercent = From.Load.SlownessPercent;
   Generated::Frame Result;
   Result.__set_Reply(Part);
   return Result;
@@ -110,6 +111,7 @@
   Part.SlotMicros = From.Load.SlotTime.count();
   Part.FailurePercent = From.Load.FailurePercent;
   Part.BacklogMicros = From.Load.Backlog.count();
+  Part.SlownessPercent = From.Load.SlownessPercent;
   Generated::Frame Result;
   Result.__set_Load(Part);
   return Result;
@@ -122,7 +124,8 @@
            .Slots = Part.Slots,
            .SlotTime = Common::Micros(Part.SlotMicros),
            .FailurePercent = Part.FailurePercent,
-           .Backlog = Common::Micros(Part.BacklogMicros)}};
+           .Backlog = Common::Micros(Part.BacklogMicros),
+           .SlownessPercent = Part.SlownessPercent}};
 }
 
 Routing::CallRequest fromWire(Generated::CallRequest &Part) {
@@ -164,7 +167,8 @@
                  .Slots = Part.Slots,
                  .SlotTime = Common::Micros(Part.SlotMicros),
                  .FailurePercent = Part.FailurePercent,
-                 .Backlog = Common::Micros(Part.BacklogMicros)};
+                 .Backlog = Common::Micros(Part.BacklogMicros),
+                 .SlownessPercent = Part.SlownessPercent};
   Result.QueueTime = Common::Micros(Part.QueueMicros);
   Result.ServiceTime = Common::Micros(Part.ServiceMicros);
   Result.Server = std::move(Part.Server);
--- a/Source/Core/Wire/Generated/Zinnia_types.cpp
+++ b/Source/Core/Wire/Generated/Zinnia_types.cpp
@@ -723,6 +723,10 @@
 void CallReply::__set_BacklogMicros(const int64_t val) {
   this->BacklogMicros = val;
 }
+
+void CallReply::__set_SlownessPercent(const int32_t val) {
+  this->SlownessPercent = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallReply& obj)
 {
   obj.printTo(out);
@@ -878,6 +882,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->SlownessPercent);
+          this->__isset.SlownessPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -960,6 +972,10 @@
   xfer += oprot->writeI64(this->BacklogMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("SlownessPercent", ::apache::thrift::protocol::T_I32, 15);
+  xfer += oprot->writeI32(this->SlownessPercent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -981,6 +997,7 @@
   swap(a.SlotMicros, b.SlotMicros);
   swap(a.FailurePercent, b.FailurePercent);
   swap(a.BacklogMicros, b.BacklogMicros);
+  swap(a.SlownessPercent, b.SlownessPercent);
   swap(a.__isset, b.__isset);
 }
 
@@ -999,6 +1016,7 @@
   SlotMicros = other20.SlotMicros;
   FailurePercent = other20.FailurePercent;
   BacklogMicros = other20.BacklogMicros;
+  SlownessPercent = other20.SlownessPercent;
   __isset = other20.__isset;
 }
 CallReply& CallReply::operator=(const CallReply& other21) {
@@ -1016,6 +1034,7 @@
   SlotMicros = other21.SlotMicros;
   FailurePercent = other21.FailurePercent;
   BacklogMicros = other21.BacklogMicros;
+  SlownessPercent = other21.SlownessPercent;
   __isset = other21.__isset;
   return *this;
 }
@@ -1036,6 +1055,7 @@
   out << ", " << "SlotMicros=" << to_string(SlotMicros);
   out << ", " << "FailurePercent=" << to_string(FailurePercent);
   out << ", " << "BacklogMicros=" << to_string(BacklogMicros);
+  out << ", " << "SlownessPercent=" << to_string(SlownessPercent);
   out << ")";
 }
 
@@ -1387,6 +1407,10 @@
 void LoadReport::__set_BacklogMicros(const int64_t val) {
   this->BacklogMicros = val;
 }
+
+void LoadReport::__set_SlownessPercent(const int32_t val) {
+  this->SlownessPercent = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -1471,6 +1495,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->SlownessPercent);
+          this->__isset.SlownessPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1516,6 +1548,10 @@
   xfer += oprot->writeI64(this->BacklogMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("SlownessPercent", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->SlownessPercent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1530,6 +1566,7 @@
   swap(a.SlotMicros, b.SlotMicros);
   swap(a.FailurePercent, b.FailurePercent);
   swap(a.BacklogMicros, b.BacklogMicros);
+  swap(a.SlownessPercent, b.SlownessPercent);
   swap(a.__isset, b.__isset);
 }
 
@@ -1541,6 +1578,7 @@
   SlotMicros = other28.SlotMicros;
   FailurePercent = other28.FailurePercent;
   BacklogMicros = other28.BacklogMicros;
+  SlownessPercent = other28.SlownessPercent;
   __isset = other28.__isset;
 }
 LoadReport& LoadReport::operator=(const LoadReport& other29) {
@@ -1551,6 +1589,7 @@
   SlotMicros = other29.SlotMicros;
   FailurePercent = other29.FailurePercent;
   BacklogMicros = other29.BacklogMicros;
+  SlownessPercent = other29.SlownessPercent;
   __isset = other29.__isset;
   return *this;
 }
@@ -1564,6 +1603,7 @@
   out << ", " << "SlotMicros=" << to_string(SlotMicros);
   out << ", " << "FailurePercent=" << to_string(FailurePercent);
   out << ", " << "BacklogMicros=" << to_string(BacklogMicros);
+  out << ", " << "SlownessPercent=" << to_string(SlownessPercent);
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Zinnia_types.h
+++ b/Source/Core/Wire/Generated/Zinnia_types.h
@@ -287,7 +287,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _CallReply__isset {
-  _CallReply__isset() : CallId(false), Result(false), HttpStatus(false), Body(false), Headers(false), Queued(false), BusySlots(false), Slots(false), QueueMicros(false), ServiceMicros(false), Server(false), SlotMicros(false), FailurePercent(false), BacklogMicros(false) {}
+  _CallReply__isset() : CallId(false), Result(false), HttpStatus(false), Body(false), Headers(false), Queued(false), BusySlots(false), Slots(false), QueueMicros(false), ServiceMicros(false), Server(false), SlotMicros(false), FailurePercent(false), BacklogMicros(false), SlownessPercent(false) {}
   bool CallId :1;
   bool Result :1;
   bool HttpStatus :1;
@@ -302,6 +302,7 @@
   bool SlotMicros :1;
   bool FailurePercent :1;
   bool BacklogMicros :1;
+  bool SlownessPercent :1;
 } _CallReply__isset;
 
 class CallReply : public virtual ::apache::thrift::TBase {
@@ -322,7 +323,8 @@
               Server(),
               SlotMicros(0),
               FailurePercent(0),
-              BacklogMicros(0) {
+              BacklogMicros(0),
+              SlownessPercent(0) {
   }
 
   virtual ~CallReply() noexcept;
@@ -340,6 +342,7 @@
   int64_t SlotMicros;
   int32_t FailurePercent;
   int64_t BacklogMicros;
+  int32_t SlownessPercent;
 
   _CallReply__isset __isset;
 
@@ -371,6 +374,8 @@
 
   void __set_BacklogMicros(const int64_t val);
 
+  void __set_SlownessPercent(const int32_t val);
+
   bool operator == (const CallReply & rhs) const
   {
     if (!(CallId == rhs.CallId))
@@ -401,6 +406,8 @@
       return false;
     if (!(BacklogMicros == rhs.BacklogMicros))
       return false;
+    if (!(SlownessPercent == rhs.SlownessPercent))
+      return false;
     return true;
   }
   bool operator != (const CallReply &rhs) const {
@@ -563,7 +570,7 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : Server(false), Queued(false), BusySlots(false), Slots(false), SlotMicros(false), FailurePercent(false), BacklogMicros(false) {}
+  _LoadReport__isset() : Server(false), Queued(false), BusySlots(false), Slots(false), SlotMicros(false), FailurePercent(false), BacklogMicros(false), SlownessPercent(false) {}
   bool Server :1;
   bool Queued :1;
   bool BusySlots :1;
@@ -571,6 +578,7 @@
   bool SlotMicros :1;
   bool FailurePercent :1;
   bool BacklogMicros :1;
+  bool SlownessPercent :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -585,7 +593,8 @@
                Slots(0),
                SlotMicros(0),
                FailurePercent(0),
-               BacklogMicros(0) {
+               BacklogMicros(0),
+               SlownessPercent(0) {
   }
 
   virtual ~LoadReport() noexcept;
@@ -596,6 +605,7 @@
   int64_t SlotMicros;
   int32_t FailurePercent;
   int64_t BacklogMicros;
+  int32_t SlownessPercent;
 
   _LoadReport__isset __isset;
 
@@ -613,6 +623,8 @@
 
   void __set_BacklogMicros(const int64_t val);
 
+  void __set_SlownessPercent(const int32_t val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(Server == rhs.Server))
@@ -629,6 +641,8 @@
       return false;
     if (!(BacklogMicros == rhs.BacklogMicros))
       return false;
+    if (!(SlownessPercent == rhs.SlownessPercent))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
--- a/Source/Core/Wire/Zinnia.thrift
+++ b/Source/Core/Wire/Zinnia.thrift
@@ -48,6 +48,7 @@
   12: i64 SlotMicros,
   13: i32 FailurePercent,
   14: i64 BacklogMicros,
+  15: i32 SlownessPercent,
 }
 
 struct CancelCall {
@@ -75,6 +76,7 @@
   5: i64 SlotMicros,
   6: i32 FailurePercent,
   7: i64 BacklogMicros,
+  8: i32 SlownessPercent,
 }
 
 union Frame {
