Tell tenants apart by key, and keep their quotas across the mesh

Requests that carry a tenant key were routed like any others: the key was passed on to the backend server, an unknown key was served, and no quota held.

The codecs take the key out of a request and name the tenant to the backend server. The ingress refuses missing and unknown keys (118, 119; HTTP 401) and what is beyond the quota (120; HTTP 429). A tenant's priority replaces that of the request kind. Sets of the product's own format may have tenants and anonymous routes.

--- a/Source/Core/Common/ResultCode.h
+++ b/Source/Core/Common/ResultCode.h
@@ -31,6 +31,9 @@
   ClaimUnavailable = 115,
   ClaimsNotYetKnown = 116,
   WouldWait = 117,
+  TenantKeyMissing = 118,
+  TenantKeyUnknown = 119,
+  TenantQuotaSpent = 120,
 
   // 2xx: the outcome of the call is unknown, or another call holds its key.
   OutcomeUnknown = 200,
--- a/Source/Core/Config/ObjectSet.cpp
+++ b/Source/Core/Config/ObjectSet.cpp
@@ -55,6 +55,8 @@
     return Services.contains(Name);
   if (Type == "retry")
     return RetryRules.contains(Name);
+  if (Type == "tenant")
+    return Tenants.contains(Name);
   return Type == "kind" ? Kinds.contains(Name) : Routes.contains(Name);
 }
 
@@ -116,6 +118,20 @@
       Out << "\n";
     }
     Out << "kind = " << Definition.Kind << "\n";
+    if (Definition.Anonymous)
+      Out << "anonymous = yes\n";
+  }
+  for (const auto &[Name, Definition] : Tenants) {
+    Out << "[tenant " << Name << "]\nkeys =";
+    for (const std::string &Key : Definition.Keys)
+      Out << " " << Key;
+    Out << "\n";
+    if (Definition.Priority)
+      Out << "priority = " << *Definition.Priority << "\n";
+    if (Definition.RatePerSecond > 0)
+      Out << "rate = " << Definition.RatePerSecond << "\n";
+    if (Definition.Burst > 0)
+      Out << "burst = " << Definition.Burst << "\n";
   }
   return Out.str();
 }
--- a/Source/Core/Config/ObjectSetBuilder.cpp
+++ b/Source/Core/Config/ObjectSetBuilder.cpp
@@ -20,6 +20,7 @@
 constexpr int MaxRedirects = 10;
 constexpr int MaxBudgetPercent = 100;
 constexpr int MaxPriority = 1000;
+constexpr int MaxQuota = 1'000'000;
 constexpr int MaxWeight = 1'000'000;
 constexpr Common::Micros MaxDeadline{3'600'000'000};
 
@@ -84,6 +85,17 @@
     return Value;
   }
 
+  // Parses words separated by spaces. Faults don't quote the words, which may
+  // be secrets.
+  std::vector<std::string> words(const std::string &Key) {
+    const Common::IniEntry *Entry = find(Key, true);
+    std::vector<std::string> Words;
+    std::istringstream Parts(Entry ? Entry->Value : "");
+    for (std::string Part; Parts >> Part;)
+      Words.push_back(std::move(Part));
+    return Words;
+  }
+
   // Parses "name:weight" parts separated by spaces.
   std::vector<WeightedService> weights(const std::string &Key) {
     const Common::IniEntry *Entry = find(Key, false);
@@ -229,14 +241,14 @@
   const std::string Type = Section.Name.substr(0, Space);
   const std::string Name =
       Space == std::string::npos ? "" : Section.Name.substr(Space + 1);
-  const bool KnownType =
-      Type == "service" || Type == "retry" || Type == "kind" || Type == "route";
+  const bool KnownType = Type == "service" || Type == "retry" ||
+                         Type == "kind" || Type == "route" || Type == "tenant";
   if (!KnownType || !isName(Name)) {
     Faults.push_back({ResultCode::ObjectUnknownSection, Section.File,
                       Section.Line,
                       "[" + Section.Name +
-                          "]; allowed are service, route, kind and retry, "
-                          "each with a name of a-z, 0-9 and -"});
+                          "]; allowed are service, route, kind, retry and "
+                          "tenant, each with a name of a-z, 0-9 and -"});
     return;
   }
   if (Result.contains(Type, Name)) {
@@ -253,8 +265,26 @@
     parseRetryRule(Name, Section);
   else if (Type == "kind")
     parseKind(Name, Section);
-  else
+  else if (Type == "route")
     parseRoute(Name, Section);
+  else
+    parseTenant(Name, Section);
+}
+
+void ObjectSetBuilder::parseTenant(const std::string &Name,
+                                   const Common::IniSection &Section) {
+  constexpr int Unset = -1;
+  KeyReader Keys(Section, Faults);
+  Tenant Parsed;
+  Parsed.Name = Name;
+  Parsed.Keys = Keys.words("keys");
+  const int Priority = Keys.number("priority", 0, MaxPriority, Unset);
+  if (Priority != Unset)
+    Parsed.Priority = Priority;
+  Parsed.RatePerSecond = Keys.number("rate", 0, MaxQuota, 0);
+  Parsed.Burst = Keys.number("burst", 0, MaxQuota, 0);
+  Keys.finish();
+  Result.Tenants[Name] = Parsed;
 }
 
 void ObjectSetBuilder::parseService(const std::string &Name,
@@ -314,6 +344,7 @@
   Parsed.Split = Keys.weights("split");
   Parsed.Service = Keys.name("service", Parsed.Split.empty());
   Parsed.Kind = Keys.name("kind", true);
+  Parsed.Anonymous = Keys.choice("anonymous", false, {"no", "yes"}) == "yes";
   Keys.finish();
   Result.Routes[Name] = Parsed;
 }
--- a/Source/Core/Config/ObjectSetBuilder.h
+++ b/Source/Core/Config/ObjectSetBuilder.h
@@ -47,6 +47,7 @@
                       const Common::IniSection &Section);
   void parseKind(const std::string &Name, const Common::IniSection &Section);
   void parseRoute(const std::string &Name, const Common::IniSection &Section);
+  void parseTenant(const std::string &Name, const Common::IniSection &Section);
   void checkReferences();
   void checkFallbackCycles();
   void checkRouteConflicts();
--- a/Source/Core/Node/CallResponse.cpp
+++ b/Source/Core/Node/CallResponse.cpp
@@ -11,6 +11,8 @@
 constexpr const char *CorrelationField = "x-correlation-id";
 constexpr const char *DeadlineField = "x-deadline-ms";
 constexpr const char *AttemptsField = "x-attempts-left";
+constexpr const char *TenantKeyField = "x-api-key";
+constexpr const char *TenantField = "x-tenant";
 
 std::optional<std::int64_t> numberField(const Http::Headers &Fields,
                                         const std::string &Name) {
@@ -27,11 +29,18 @@
 }
 
 int statusOf(ResultCode Code) {
+  constexpr int Unauthorized = 401;
   constexpr int NotFound = 404;
+  constexpr int TooManyRequests = 429;
   constexpr int ServiceUnavailable = 503;
   constexpr int GatewayTimeout = 504;
   if (Code == ResultCode::NoRoute)
     return NotFound;
+  if (Code == ResultCode::TenantKeyMissing ||
+      Code == ResultCode::TenantKeyUnknown)
+    return Unauthorized;
+  if (Code == ResultCode::TenantQuotaSpent)
+    return TooManyRequests;
   return Common::isNotRun(Code) ? ServiceUnavailable : GatewayTimeout;
 }
 
@@ -72,6 +81,8 @@
   Result.Fields[AttemptsField] = std::to_string(Request.AttemptsLeft);
   Result.Fields[DeadlineField] = std::to_string(
       std::chrono::duration_cast<Common::Millis>(Context.Remaining).count());
+  if (!Request.Tenant.empty())
+    Result.Fields[TenantField] = Request.Tenant;
   Result.Body = Request.Body;
   return Result;
 }
@@ -118,6 +129,9 @@
   if (const auto Host = Incoming.Fields.find("host");
       Host != Incoming.Fields.end())
     Result.Host = hostName(Host->second);
+  if (auto Key = Incoming.Fields.extract(TenantKeyField))
+    Result.TenantKey = std::move(Key.mapped());
+  Incoming.Fields.erase(TenantField);
   removeConnectionFields(Incoming.Fields);
   Incoming.Fields.erase("host");
   moveContent(std::move(Incoming), Result);
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -15,6 +15,7 @@
 #include "Node/NodeSettings.h"
 #include "Once/PendingCalls.h"
 #include "Routing/Dispatcher.h"
+#include "Tenants/TenantGate.h"
 
 namespace Node {
 
@@ -37,6 +38,8 @@
     Claims ToClaims;
     Metrics ToMetrics;
     Admin ToAdmin;
+    // Closed if the nodes do not share the quotas of tenants.
+    Kernel::Address<QuotaMessage> ToQuota = {};
   };
 
   IngressService(Kernel::Context Context, const NodeSettings &Settings,
@@ -45,7 +48,8 @@
       : Task(Context.ServiceTask), Settings(Settings),
         Targets(std::move(Targets)), HttpCodec(std::move(HttpCodec)),
         Calls(Settings.DataCentre, std::move(Choice), Settings.OpenCallLimit,
-              std::move(RetryBudget)) {}
+              std::move(RetryBudget)),
+        Gate(Settings.Quota) {}
 
   void start() {
     Http::EdgeLimits Limits;
@@ -64,6 +68,8 @@
             .build();
     spdlog::info("event=ingress-listening address={}:{}", Settings.Address,
                  Listener->port());
+    if (Settings.Quota.isEnforced())
+      reportDemand();
   }
 
   void handle(Message Content) {
@@ -94,6 +100,7 @@
     // Set on arrival for claimed calls only; other calls get them from routing.
     std::string Service;
     std::string Kind;
+    std::string Tenant = {};
   };
 
   // Leaves the sockets time to write out the last answers.
@@ -109,6 +116,8 @@
       return;
     Set = Event.Newest.Set;
     Calls.useSet(Event.Newest.SetVersion, Event.Newest.Set);
+    Gate.useSet(*Event.Newest.Set, now());
+    Targets.ToQuota.post(Event);
     if (const auto &Limits = Set->callerLimits())
       Listener->useLimits({Limits->HeaderBytes, Limits->BodyBytes,
                            Limits->HeaderTimeout, Limits->IdleTimeout});
@@ -126,6 +135,10 @@
     Calls.useServers(Event.Servers, now());
     if constexpr (requires { Calls.budgets().setNodeCount(Event.NodeCount); })
       Calls.budgets().setNodeCount(Event.NodeCount);
+    Gate.quotas().setNodeCount(Event.NodeCount);
+  }
+  void onMessage(const QuotaGranted &Event) {
+    Gate.quotas().useGrants(Event.Granted, now());
   }
   void onMessage(DataCentresUnreachable &Event) {
     Calls.useUnreachable(std::move(Event.DataCentres));
@@ -178,13 +191,16 @@
         static_cast<Routing::CallId>(Id), std::move(Request),
         Settings.Name + "-" + std::to_string(Id));
     OpenCalls.emplace(
-        Start.Call, OpenCall{Start.CorrelationId, Start.Caller, now(), {}, {}});
+        Start.Call,
+        OpenCall{Start.CorrelationId, Start.Caller, now(), {}, {}, {}});
     if (Draining) {
       Routing::CallReply Refused;
       Refused.Result = Common::ResultCode::Draining;
       answer(Start.Call, std::move(Refused));
       return;
     }
+    if (!admitTenant(Start))
+      return;
     if (const auto Limit = claimedCallLimit(Set.get(), Start))
       claim(std::move(Start), now() + *Limit);
     else
@@ -192,6 +208,53 @@
     armTimer();
   }
 
+  // Finds out which tenant sent the call, and refuses the call if its key is
+  // unknown or the quota is used up. Nothing after this sees the key.
+  bool admitTenant(Routing::CallStart &Start) {
+    const std::optional<std::string> Key =
+        std::exchange(Start.TenantKey, std::nullopt);
+    const Config::Route *Route =
+        Set ? Set->findRoute(Start.Host, Start.Method, Start.Path) : nullptr;
+    // The dispatcher refuses a call without a set or a route.
+    if (!Route || Set->tenants().empty())
+      return true;
+    const Tenants::Admission Decision = Gate.admit(*Set, *Route, Key, now());
+    OpenCall &Opened = OpenCalls.at(Start.Call);
+    if (Decision.Sender) {
+      Start.Tenant = Decision.Sender->Name;
+      Start.Priority = Decision.Sender->Priority;
+      Opened.Tenant = Start.Tenant;
+    }
+    if (Decision.Result == Common::ResultCode::Ok) {
+      reportSurge();
+      return true;
+    }
+    Routing::AnswerCaller Refusal;
+    Refusal.Call = Start.Call;
+    Refusal.Kind = Route->Kind;
+    Refusal.ConfigVersion = Calls.version();
+    Refusal.Reply.Result = Decision.Result;
+    Refusal.RetryAfter = Decision.RetryAfter;
+    perform(Refusal);
+    reportSurge();
+    return false;
+  }
+
+  void reportDemand() {
+    Clock.after(Tenants::ReportInterval, [this] { reportDemand(); });
+    if (auto Report = Gate.quotas().takeReport(now()))
+      Targets.ToQuota.post(DemandCounted{std::move(*Report)});
+  }
+
+  // Load pattern: a tenant suddenly sends many times its usual through all
+  // nodes. The other nodes must learn of it sooner than at the next report.
+  void reportSurge() {
+    if (!Gate.quotas().isSurging(now()))
+      return;
+    if (auto Report = Gate.quotas().takeReport(now()))
+      Targets.ToQuota.post(DemandCounted{std::move(*Report)});
+  }
+
   // Claims the key of a call whose kind is not idempotent. The call is
   // dispatched when the claim is granted.
   void claim(Routing::CallStart Start, Common::SteadyTime Deadline) {
@@ -255,6 +318,10 @@
     if (ClaimedCalls.erase(Action.Call) > 0)
       Targets.ToClaims.post(ClaimedCallEnded{Action.Call, Action.Reply});
     const OpenCall Call = std::move(OpenCalls.extract(Action.Call).mapped());
+    // A call that did not run uses up none of its tenant's quota.
+    if (Common::isNotRun(Action.Reply.Result) &&
+        Action.Reply.Result != Common::ResultCode::TenantQuotaSpent)
+      Gate.quotas().refund(Call.Tenant);
     logCall(Action, Call);
     Listener->respond(static_cast<Http::ExchangeId>(Action.Call),
                       HttpCodec.toResponse(Action, Call.CorrelationId));
@@ -265,14 +332,15 @@
   static void logCall(const Routing::AnswerCaller &Answer,
                       const OpenCall &Call) {
     spdlog::info(
-        "event=call id={} caller={} version={} service={} kind={} server={} "
+        "event=call id={} caller={} tenant={} version={} service={} kind={} "
+        "server={} "
         "data-centre={} "
         "attempts={} result={} {} status={} took-us={} queue-us={} "
         "slot-us={} busy={}/{} waiting={} limit-us={} low-quantile-us={} "
         "unrouted={}",
-        Call.CorrelationId, Call.Caller, Answer.ConfigVersion, Answer.Service,
-        Answer.Kind, Answer.Reply.Server, Answer.DataCentre, Answer.Attempts,
-        Common::resultCodeNumber(Answer.Reply.Result),
+        Call.CorrelationId, Call.Caller, Call.Tenant, Answer.ConfigVersion,
+        Answer.Service, Answer.Kind, Answer.Reply.Server, Answer.DataCentre,
+        Answer.Attempts, Common::resultCodeNumber(Answer.Reply.Result),
         Common::resultCodeName(Answer.Reply.Result), Answer.Reply.HttpStatus,
         std::chrono::duration_cast<Common::Micros>(now() - Call.Arrived)
             .count(),
@@ -344,6 +412,7 @@
   Sinks Targets;
   Codec HttpCodec;
   Routing::Dispatcher<Policy, Budgets> Calls;
+  Tenants::TenantGate Gate;
   Config::ObjectSetPtr Set;
   Once::PendingCalls<Routing::CallStart> Pending;
   // Calls that run under a granted claim.
--- a/Source/Core/Node/MembersService.h
+++ b/Source/Core/Node/MembersService.h
@@ -36,6 +36,8 @@
     Admin ToAdmin;
     // Closed if departures do not outlive the process of this node.
     Announcements ToAnnouncements = {};
+    // Closed if the nodes do not share the quotas of tenants.
+    Kernel::Address<QuotaMessage> ToQuota = {};
   };
 
   MembersService(Kernel::Context Context, const NodeSettings &Settings,
@@ -214,6 +216,7 @@
     Targets.ToConfig.post(MembersChanged{PublishedMembers});
     Targets.ToClaims.post(MembersChanged{PublishedMembers});
     Targets.ToAnnouncements.post(MembersChanged{PublishedMembers});
+    Targets.ToQuota.post(MembersChanged{PublishedMembers});
   }
 
   void publishServers() {
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -20,6 +20,7 @@
 #include "Routing/Call.h"
 #include "Routing/ServerView.h"
 #include "Routing/VersionPolicy.h"
+#include "Tenants/QuotaMessages.h"
 
 // The messages between the services of one node.
 namespace Node {
@@ -33,6 +34,7 @@
 inline const std::string MembersName = "members";
 inline const std::string MetricsName = "metrics";
 inline const std::string ClaimsName = "claims";
+inline const std::string QuotaName = "quota";
 inline const std::string AdminName = "admin";
 inline const std::string AnnouncementsName = "announcements";
 
@@ -80,10 +82,14 @@
 struct VersionPolicyChanged {
   Routing::VersionPolicyPtr Policy;
 };
+// The limits of this node's shares of the tenants' quotas.
+struct QuotaGranted {
+  Tenants::Grants Granted;
+};
 using IngressMessage =
     std::variant<ConfigAccepted, ServersChanged, ReplyArrived, NodeLost,
                  ClaimDecided, CallerServiceChanged, LoadReceived,
-                 DataCentresUnreachable, VersionPolicyChanged>;
+                 DataCentresUnreachable, VersionPolicyChanged, QuotaGranted>;
 
 struct SendRequest {
   Routing::NodeAddress Address;
@@ -235,6 +241,13 @@
 using ClaimsMessage = std::variant<ClaimCall, ClaimedCallEnded, MembersChanged,
                                    EnvelopeArrived, EnvelopeConnectionLost>;
 
+// What the tenants asked of this node since the last such message.
+struct DemandCounted {
+  Tenants::NodeReport Report;
+};
+using QuotaMessage = std::variant<DemandCounted, ConfigAccepted, MembersChanged,
+                                  EnvelopeArrived, EnvelopeConnectionLost>;
+
 // The result of validating one record of the configuration log.
 struct RecordValidated {
   Config::RecordResult Result;
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -5,6 +5,7 @@
 
 #include "Common/Settings.h"
 #include "Once/CallKey.h"
+#include "Tenants/QuotaLimiter.h"
 
 namespace Node {
 
@@ -68,6 +69,7 @@
   Common::Micros ClaimInterval{25'000};
   std::size_t ClaimBatch = 100;
   std::size_t ClaimAnswerLimit = 16384;
+  Tenants::QuotaTerms Quota;
 };
 
 // Throws SettingsWrongType for a seed that is not "IP:port" and for an unknown
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -36,6 +36,13 @@
   // Limits that the caller set. The limits of the configuration apply as well.
   std::optional<Common::Micros> Timeout;
   std::optional<int> AttemptsLeft;
+  // The key by which the caller identifies its tenant. It is a secret, so it is
+  // taken out of Fields and cleared once the tenant is known.
+  std::optional<std::string> TenantKey = {};
+  // Set once the key is verified.
+  std::string Tenant = {};
+  // Takes precedence over the priority of the request kind.
+  std::optional<int> Priority = {};
 };
 
 // Actions that the Dispatcher returns for the surrounding service to perform.
@@ -454,7 +461,8 @@
   Request.TargetTimeLeft =
       std::chrono::duration_cast<Common::Micros>(Call.TargetTime - Now);
   Request.TargetLatency = Call.Kind.TargetLatency;
-  Request.Priority = Call.Kind.Priority;
+  Request.Priority = Call.Start.Priority.value_or(Call.Kind.Priority);
+  Request.Tenant = Call.Start.Tenant;
   Request.WaitLimit = waitLimit(Call);
   Request.LongLane = Call.Kind.LongLane;
   Request.Idempotent = Call.Kind.Idempotent;
--- a/Source/UnitTests/Config/ObjectSetTests.cpp
+++ b/Source/UnitTests/Config/ObjectSetTests.cpp
@@ -53,6 +53,43 @@
   BOOST_TEST(Reparsed->canonicalText() == Set->canonicalText());
 }
 
+BOOST_AUTO_TEST_CASE(ReadsTenantsAndAnonymousRoutes) {
+  const auto Set =
+      Config::ObjectSetBuilder()
+          .input("f.ini", ValidSet +
+                              "[tenant acme]\nkeys = k-1 k-2\npriority = 2\n"
+                              "rate = 30\nburst = 60\n"
+                              "[tenant bare]\nkeys = k-3\n"
+                              "[route open]\nprefix = /open/\nservice = s\n"
+                              "kind = k\nanonymous = yes\n")
+          .build();
+  const Config::Tenant *Found = Set->findTenantByKey("k-2");
+  BOOST_REQUIRE(Found);
+  BOOST_TEST(Found->Name == "acme");
+  BOOST_TEST(Found->Priority.value() == 2);
+  BOOST_TEST(Found->RatePerSecond == 30);
+  BOOST_TEST(Found->Burst == 60);
+  BOOST_TEST(!Set->findTenantByKey("k-3")->Priority);
+  BOOST_TEST(!Set->findTenantByKey("k-4"));
+  BOOST_TEST(Set->findRoute("", "GET", "/open/x")->Anonymous);
+  BOOST_TEST(!Set->findRoute("", "GET", "/p/x")->Anonymous);
+  const auto Reparsed =
+      Config::ObjectSetBuilder().input("g", Set->canonicalText()).build();
+  BOOST_TEST((Reparsed->tenants() == Set->tenants()));
+  BOOST_TEST(Reparsed->canonicalText() == Set->canonicalText());
+}
+
+// Guards against keys in the faults that operators see.
+BOOST_AUTO_TEST_CASE(FaultsDoNotShowKeys) {
+  Config::ObjectSetBuilder Builder;
+  Builder.input("f.ini", ValidSet +
+                             "[tenant a]\nkeys = hush-1 hush-2\nrate = -1\n"
+                             "[tenant b]\nkeys = hush-1\n");
+  BOOST_TEST(Builder.faults().size() == 2U);
+  for (const Common::Fault &Found : Builder.faults())
+    BOOST_TEST(Found.text().find("hush") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(ReportsEveryTypeOfFault) {
   checkSingleFault("", ResultCode::SetEmpty);
   checkSingleFault(ValidSet + "nonsense\n", ResultCode::ObjectSyntax);
--- a/Source/UnitTests/Node/IngressServiceTests.cpp
+++ b/Source/UnitTests/Node/IngressServiceTests.cpp
@@ -31,6 +31,7 @@
     Settings.OpenCallLimit = 100;
     Settings.BodyLimit = 1000;
     Settings.ServeOnLimit = Millis(60'000);
+    Settings.Quota = {std::chrono::seconds(5), 0.1, 20};
     Worker.runAndWait([this] {
       Settings.CallPort =
           Net::Listener(Worker, "127.0.0.1", 0, [](const auto &) {}).port();
@@ -94,4 +95,74 @@
   BOOST_TEST(passedOn() == 1U);
 }
 
+namespace {
+
+// The same node with a set that has a tenant with a quota.
+struct TenantFixture : Fixture {
+  TenantFixture() {
+    Worker.runAndWait([this] {
+      Config::AcceptedSet Accepted;
+      Accepted.SetVersion = 6;
+      Accepted.Set =
+          Config::ObjectSetBuilder()
+              .input("f", sampleSet()->canonicalText() +
+                              "[route c]\nprefix = /open\nservice = s\n"
+                              "kind = short\nanonymous = yes\n"
+                              "[tenant acme]\nkeys = hush\npriority = 7\n"
+                              "rate = 1\nburst = 3\n")
+              .build();
+      Tested->handle(Node::ConfigAccepted{Accepted});
+    });
+  }
+
+  // The status of the response; empty if the call was passed on.
+  std::string statusOf(const std::string &Path, const std::string &Fields) {
+    UnitTests::RawSocket Socket(Settings.CallPort);
+    Socket.send("GET " + Path + " HTTP/1.1\r\nHost: h\r\n" + Fields + "\r\n");
+    const std::string Head = Socket.readUntil("\r\n\r\n", Millis(150));
+    return Head.empty() ? "" : Head.substr(Head.find(' ') + 1, 3);
+  }
+  Routing::CallRequest lastRequest() {
+    Routing::CallRequest Result;
+    Worker.runAndWait([&] {
+      for (const Node::PeersMessage &Sent : ToPeers)
+        if (const auto *Request = std::get_if<Node::SendRequest>(&Sent))
+          Result = Request->Request;
+    });
+    return Result;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(RefusesUnknownAndMissingTenantKeys, TenantFixture) {
+  BOOST_TEST(statusOf("/short", "") == "401");
+  BOOST_TEST(statusOf("/short", "X-Api-Key: other\r\n") == "401");
+  BOOST_TEST(passedOn() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(NamesTheTenantInsteadOfItsKey, TenantFixture) {
+  BOOST_TEST(
+      statusOf("/short", "X-Api-Key: hush\r\nX-Tenant: forged\r\n").empty());
+  const Routing::CallRequest Sent = lastRequest();
+  BOOST_TEST(Sent.Tenant == "acme");
+  BOOST_TEST(Sent.Priority == 7);
+  BOOST_TEST(!Sent.Fields.contains("x-api-key"));
+  BOOST_TEST(!Sent.Fields.contains("x-tenant"));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnonymousRoutesTakeNoTenantFromCallers, TenantFixture) {
+  BOOST_TEST(statusOf("/open", "X-Tenant: forged\r\n").empty());
+  const Routing::CallRequest Sent = lastRequest();
+  BOOST_TEST(Sent.Tenant.empty());
+  BOOST_TEST(Sent.Priority == 0);
+  BOOST_TEST(!Sent.Fields.contains("x-tenant"));
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusesBeyondTheQuotaOfATenant, TenantFixture) {
+  for (int Call = 0; Call < 3; ++Call)
+    BOOST_TEST(statusOf("/short", "X-Api-Key: hush\r\n").empty());
+  BOOST_TEST(statusOf("/short", "X-Api-Key: hush\r\n") == "429");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
