Run pipelined safe requests of one connection side by side

Cause: a connection had one open request at a time, so a slow one held up all that its caller had sent behind it. Change: GET and HEAD requests are passed on while earlier ones are open, up to 16; responses go out in the order of the requests. Any other request waits for those before it, and those behind it wait for it.

--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -1,7 +1,9 @@
 #include "Http/EdgeServer.h"
 
+#include <deque>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <boost/beast/http/parser.hpp>
@@ -23,9 +25,11 @@
 // How long a caller may take to close a connection that the server has shut
 // down.
 constexpr Common::Millis LingerTimeout{2'000};
-// Bytes of pipelined requests that are buffered while a request is open. Beyond
-// this the server stops reading from the connection.
+// Bytes of pipelined requests that are buffered while no further request may
+// be parsed. Beyond this the server stops reading from the connection.
 constexpr std::size_t MaxPipelinedBytes = 64 << 10;
+// Requests of one connection that may be open at once.
+constexpr std::size_t MaxPipelinedRequests = 16;
 
 // The least rate at which a caller has to send a body. It is far below that of
 // the slowest links, so it ends only requests that would never be complete.
@@ -35,6 +39,17 @@
 
 enum class Phase { Idle, Reading, Responding, Closing };
 
+// A request that was passed on and whose response was not sent yet.
+struct OpenExchange {
+  ExchangeId Id = 0;
+  bool KeepAlive = true;
+  bool OmitBody = false;
+  // Whether requests behind it may run before it is answered.
+  bool MayOverlap = false;
+  // Set when the response waits for those of earlier requests.
+  std::optional<Response> Ready;
+};
+
 struct Connection {
   std::unique_ptr<Net::ByteStream> Stream;
   Phase State = Phase::Idle;
@@ -42,14 +57,27 @@
   std::unique_ptr<Parser> RequestParser;
   // Bytes of the request that is being read.
   std::int64_t RequestBytes = 0;
-  ExchangeId Exchange = 0;
+  // In the order of the requests, which is that of the responses.
+  std::deque<OpenExchange> Open;
+  // A complete request that has to wait until the open ones are answered.
+  std::optional<std::pair<OpenExchange, Request>> Held;
+  // The status with which to reject the connection after the open requests are
+  // answered.
+  std::optional<int> PendingRejection;
   // When the current phase began.
   SteadyTime PhaseStart;
-  bool KeepAlive = true;
-  bool OmitBody = false;
   bool ContinueSent = false;
 };
 
+// Whether a request that follows the open ones may be parsed.
+bool mayParse(const Connection &Peer) {
+  if (Peer.Held || Peer.PendingRejection || Peer.State == Phase::Closing)
+    return false;
+  return Peer.Open.empty() ||
+         (Peer.Open.back().KeepAlive && Peer.Open.back().MayOverlap &&
+          Peer.Open.size() < MaxPipelinedRequests);
+}
+
 int statusForError(const beast::error_code &Error) {
   constexpr int BadRequest = 400;
   constexpr int ContentTooLarge = 413;
@@ -98,8 +126,14 @@
 
   void accept(const Net::Listener::Adopter &Adopt);
   void handleBytes(ConnectionId Id, std::string_view Bytes);
-  void parse(ConnectionId Id, Connection &Peer);
+  // Returns true if a request was complete.
+  bool parse(ConnectionId Id, Connection &Peer);
+  void continueIfExpected(Connection &Peer);
   void dispatch(ConnectionId Id, Connection &Peer);
+  void pass(ConnectionId Id, Connection &Peer, OpenExchange Exchange,
+            Request Received);
+  void sendReady(ConnectionId Id, Connection &Peer);
+  void parseLater(ConnectionId Id);
   void reject(Connection &Peer, int Status);
   void close(Connection &Peer);
   void handleClosed(ConnectionId Id);
@@ -144,15 +178,14 @@
     return;
   Connection &Peer = Found->second;
   Peer.Incoming.append(Bytes);
-  if (Peer.State != Phase::Responding)
-    parse(Id, Peer);
-  else if (Peer.Incoming.size() > MaxPipelinedBytes)
+  while (mayParse(Peer) && !Peer.Incoming.empty())
+    if (!parse(Id, Peer))
+      break;
+  if (!mayParse(Peer) && Peer.Incoming.size() > MaxPipelinedBytes)
     Peer.Stream->setReading(false);
 }
 
-void EdgeServer::Impl::parse(ConnectionId Id, Connection &Peer) {
-  if (Peer.Incoming.empty())
-    return;
+bool EdgeServer::Impl::parse(ConnectionId Id, Connection &Peer) {
   if (!Peer.RequestParser) {
     Peer.RequestParser = std::make_unique<Parser>();
     Peer.RequestParser->eager(true);
@@ -162,7 +195,8 @@
     Peer.RequestParser->get().body().Limit = Limits.BodyBytes;
     Peer.ContinueSent = false;
     Peer.RequestBytes = 0;
-    enterPhase(Peer, Phase::Reading);
+    if (Peer.Open.empty())
+      enterPhase(Peer, Phase::Reading);
   }
   beast::error_code Error;
   std::size_t Offset = 0;
@@ -179,19 +213,27 @@
   Peer.RequestBytes += static_cast<std::int64_t>(Offset);
   if (Error && Error != beast::http::error::need_more) {
     reject(Peer, statusForError(Error));
-    return;
+    return false;
   }
   if (Peer.RequestParser->is_done()) {
     dispatch(Id, Peer);
-    return;
+    return true;
   }
   // The parser limits the header section, but neither chunk headers nor
   // trailers.
   if (Peer.Incoming.size() > Limits.HeaderBytes) {
     reject(Peer, HeaderFieldsTooLarge);
-    return;
+    return false;
   }
-  if (!Peer.RequestParser->is_header_done() || Peer.ContinueSent)
+  continueIfExpected(Peer);
+  return false;
+}
+
+// Tells a caller that waits for it to send the body. An interim response must
+// not come between those to earlier requests.
+void EdgeServer::Impl::continueIfExpected(Connection &Peer) {
+  if (!Peer.RequestParser || !Peer.RequestParser->is_header_done() ||
+      Peer.ContinueSent || !Peer.Open.empty())
     return;
   if (toLower(toView(Peer.RequestParser->get()[beast::http::field::expect])) ==
       "100-continue") {
@@ -210,15 +252,82 @@
   Received.Fields = toHeaders(Message);
   Received.Body = std::move(Message.body().Text);
   Received.Caller = Peer.Stream->peerAddress();
-  Peer.KeepAlive = Message.keep_alive();
-  Peer.OmitBody = Message.method() == beast::http::verb::head;
-  Peer.Exchange = NextExchange++;
-  Exchanges.emplace(Peer.Exchange, Id);
-  enterPhase(Peer, Phase::Responding);
-  OnRequest(Peer.Exchange, std::move(Received));
+  OpenExchange Exchange;
+  Exchange.KeepAlive = Message.keep_alive();
+  Exchange.OmitBody = Message.method() == beast::http::verb::head;
+  // Only safe methods may run in another order than they were sent in.
+  Exchange.MayOverlap =
+      Exchange.OmitBody || Message.method() == beast::http::verb::get;
+  if (Exchange.MayOverlap || Peer.Open.empty())
+    pass(Id, Peer, std::move(Exchange), std::move(Received));
+  else
+    Peer.Held.emplace(std::move(Exchange), std::move(Received));
+}
+
+void EdgeServer::Impl::pass(ConnectionId Id, Connection &Peer,
+                            OpenExchange Exchange, Request Received) {
+  Exchange.Id = NextExchange++;
+  Exchanges.emplace(Exchange.Id, Id);
+  if (Peer.Open.empty())
+    enterPhase(Peer, Phase::Responding);
+  const ExchangeId Opened = Exchange.Id;
+  Peer.Open.push_back(std::move(Exchange));
+  OnRequest(Opened, std::move(Received));
+}
+
+// Sends the responses that no earlier request delays.
+void EdgeServer::Impl::sendReady(ConnectionId Id, Connection &Peer) {
+  while (!Peer.Open.empty() && Peer.Open.front().Ready) {
+    const OpenExchange Answered = std::move(Peer.Open.front());
+    Peer.Open.pop_front();
+    // Requests that were received before the stop are answered first.
+    const bool KeepAlive =
+        Answered.KeepAlive && (!Draining || !Peer.Open.empty() || Peer.Held ||
+                               !Peer.Incoming.empty());
+    Peer.Stream->write(encode(*Answered.Ready, KeepAlive, !Answered.OmitBody));
+    if (!KeepAlive) {
+      close(Peer);
+      return;
+    }
+  }
+  if (Peer.Open.empty() && Peer.PendingRejection) {
+    reject(Peer, *Peer.PendingRejection);
+    return;
+  }
+  if (Peer.Open.empty()) {
+    enterPhase(Peer, Peer.RequestParser ? Phase::Reading : Phase::Idle);
+    continueIfExpected(Peer);
+  }
+  if (mayParse(Peer))
+    Peer.Stream->setReading(true);
+  if (Peer.Held || !Peer.Incoming.empty())
+    parseLater(Id);
+}
+
+// Requests are passed on from the event loop, so that respond() doesn't call
+// OnRequest.
+void EdgeServer::Impl::parseLater(ConnectionId Id) {
+  Clock.after(Common::Duration::zero(), [this, Id] {
+    const auto Found = Connections.find(Id);
+    if (Found == Connections.end() || Found->second.State == Phase::Closing)
+      return;
+    Connection &Peer = Found->second;
+    if (Peer.Held && Peer.Open.empty()) {
+      auto Next = std::move(*Peer.Held);
+      Peer.Held.reset();
+      pass(Id, Peer, std::move(Next.first), std::move(Next.second));
+    }
+    while (mayParse(Peer) && !Peer.Incoming.empty())
+      if (!parse(Id, Peer))
+        break;
+  });
 }
 
 void EdgeServer::Impl::reject(Connection &Peer, int Status) {
+  if (!Peer.Open.empty()) {
+    Peer.PendingRejection = Status;
+    return;
+  }
   Response Reply;
   Reply.Status = Status;
   Peer.Stream->write(encode(Reply, false, false));
@@ -232,11 +341,11 @@
 
 void EdgeServer::Impl::handleClosed(ConnectionId Id) {
   const auto Entry = Connections.extract(Id);
-  if (Entry.empty() || Entry.mapped().State != Phase::Responding)
+  if (Entry.empty())
     return;
-  const ExchangeId Exchange = Entry.mapped().Exchange;
-  if (Exchanges.erase(Exchange) > 0)
-    OnCallerDisconnected(Exchange);
+  for (const OpenExchange &Exchange : Entry.mapped().Open)
+    if (Exchanges.erase(Exchange.Id) > 0)
+      OnCallerDisconnected(Exchange.Id);
 }
 
 // How long a request may take to arrive, given the bytes received so far.
@@ -280,26 +389,10 @@
     return;
   const Impl::ConnectionId ConnectionKey = Entry.mapped();
   Connection &Peer = Self->Connections.at(ConnectionKey);
-  // Requests that were received before the stop are answered first.
-  const bool KeepAlive =
-      Peer.KeepAlive && (!Self->Draining || !Peer.Incoming.empty());
-  Peer.Stream->write(encode(Reply, KeepAlive, !Peer.OmitBody));
-  if (!KeepAlive) {
-    Self->close(Peer);
-    return;
-  }
-  Self->enterPhase(Peer, Phase::Idle);
-  Peer.Stream->setReading(true);
-  if (Peer.Incoming.empty())
-    return;
-  // Pipelined requests are parsed from the event loop, so that respond()
-  // doesn't call OnRequest.
-  Self->Clock.after(Common::Duration::zero(), [State = Self.get(),
-                                               ConnectionKey] {
-    const auto Found = State->Connections.find(ConnectionKey);
-    if (Found != State->Connections.end() && Found->second.State == Phase::Idle)
-      State->parse(ConnectionKey, Found->second);
-  });
+  for (OpenExchange &Exchange : Peer.Open)
+    if (Exchange.Id == Id)
+      Exchange.Ready = Reply;
+  Self->sendReady(ConnectionKey, Peer);
 }
 
 void EdgeServer::useLimits(const EdgeLimits &Limits) { Self->Limits = Limits; }
--- a/Source/UnitTests/Http/EdgeServerTests.cpp
+++ b/Source/UnitTests/Http/EdgeServerTests.cpp
@@ -108,6 +108,82 @@
   BOOST_TEST(Read.find("POST /2 abc") < Read.find("GET /3 "));
 }
 
+// A slow request must not hold up those that its caller sends behind it.
+BOOST_FIXTURE_TEST_CASE(PipelinedSafeRequestsRunSideBySide, Fixture) {
+  RawSocket Caller(Port);
+  Caller.send("GET /hold/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /hold/2 HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_REQUIRE(waitFor([this] { return Requests.size() == 3; }));
+  Worker.runAndWait([this] {
+    Server->respond(OpenExchanges[1], {200, {}, "second"});
+  });
+  BOOST_TEST(!Caller.isClosed(Millis(50)));
+  Worker.runAndWait([this] {
+    Server->respond(OpenExchanges[0], {200, {}, "first"});
+  });
+  const std::string Read = Caller.readUntil("GET /3 ");
+  BOOST_TEST(Read.find("first") < Read.find("second"));
+  BOOST_TEST(Read.find("second") < Read.find("GET /3 "));
+}
+
+// The effects of a request that is not safe must not overtake earlier requests,
+// and later ones must not overtake it.
+BOOST_FIXTURE_TEST_CASE(UnsafeRequestRunsAlone, Fixture) {
+  RawSocket Caller(Port);
+  Caller.send("GET /hold/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+              "POST /hold/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+              "GET /hold/3 HTTP/1.1\r\nHost: h\r\n\r\n");
+  for (std::size_t Expected = 1; Expected <= 3; ++Expected) {
+    BOOST_REQUIRE(waitFor([&] { return Requests.size() == Expected; }));
+    std::this_thread::sleep_for(Millis(30));
+    BOOST_TEST(requestCount() == Expected);
+    Worker.runAndWait([this] {
+      Server->respond(OpenExchanges.back(), {200, {}, "done"});
+    });
+  }
+  BOOST_TEST(Requests[1].Method == "POST");
+}
+
+BOOST_FIXTURE_TEST_CASE(MalformedRequestIsRejectedAfterEarlierResponses,
+                        Fixture) {
+  RawSocket Caller(Port);
+  Caller.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\nNONSENSE\r\n\r\n");
+  BOOST_REQUIRE(waitFor([this] { return OpenExchanges.size() == 1; }));
+  std::this_thread::sleep_for(Millis(30));
+  Worker.runAndWait([this] {
+    Server->respond(OpenExchanges[0], {200, {}, "first"});
+  });
+  const std::string Read = Caller.readUntil("400 ");
+  BOOST_TEST(Read.find("first") < Read.find("400 "));
+  BOOST_TEST(Caller.isClosed());
+  BOOST_TEST(requestCount() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(DisconnectEndsAllPipelinedRequests, Fixture) {
+  RawSocket Caller(Port);
+  Caller.send("GET /hold/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /hold/2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_REQUIRE(waitFor([this] { return OpenExchanges.size() == 2; }));
+  Caller.close();
+  BOOST_TEST(waitFor([this] { return Disconnected == OpenExchanges; }));
+}
+
+// The body of a request that another one delays may take as long as any other.
+BOOST_FIXTURE_TEST_CASE(ContinuesARequestBehindAnOpenOne, Fixture) {
+  RawSocket Caller(Port);
+  Caller.send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
+              "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+              "Expect: 100-continue\r\n\r\n");
+  BOOST_REQUIRE(waitFor([this] { return OpenExchanges.size() == 1; }));
+  Worker.runAndWait([this] {
+    Server->respond(OpenExchanges[0], {200, {}, "first"});
+  });
+  Caller.readUntil("100 Continue");
+  Caller.send("abc");
+  BOOST_TEST(Caller.readUntil("POST /2 abc").find("200") != std::string::npos);
+}
+
 BOOST_FIXTURE_TEST_CASE(EnforcesItsLimits, Fixture) {
   RawSocket Fields(Port);
   Fields.send("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(4000, 'x'));
