--- a/Source/Core/Node/MembersService.h
+++ b/Source/Core/Node/MembersService.h
@@ -40,6 +40,8 @@
     Announcements ToAnnouncements = {};
     // Closed if services are not moved between versions.
     Rollouts ToRollouts = {};
+    // Closed if the nodes do not share the quotas of tenants.
+    Kernel::Address<QuotaMessage> ToQuota = {};
   };
 
   MembersService(Kernel::Context Context, const NodeSettings &Settings,
@@ -219,6 +221,7 @@
     Targets.ToClaims.post(MembersChanged{PublishedMembers});
     Targets.ToAnnouncements.post(MembersChanged{PublishedMembers});
     Targets.ToRollouts.post(MembersChanged{PublishedMembers});
+    Targets.ToQuota.post(MembersChanged{PublishedMembers});
   }
 
   void publishServers() {
