--- a/Source/UnitTests/Config/ObjectSetTests.cpp
+++ b/Source/UnitTests/Config/ObjectSetTests.cpp
@@ -83,7 +83,7 @@
 BOOST_AUTO_TEST_CASE(FaultsDoNotShowKeys) {
   Config::ObjectSetBuilder Builder;
   Builder.input("f.ini", ValidSet +
-                             "[tenant a]\nkeys = hush-1 hush-2\nrate = -1\n"
+                             "[tenant a]\nkeys = hush-1 hush-2\nrate = many\n"
                              "[tenant b]\nkeys = hush-1\n");
   BOOST_TEST(Builder.faults().size() == 2U);
   for (const Common::Fault &Found : Builder.faults())
