--- a/Tools/cluster.sh
+++ b/Tools/cluster.sh
@@ -75,6 +75,8 @@
 #   Choice           policy for choosing a backend server, ours by default
 #   MembersSettings  additional lines of the section [members]
 #   LogSettings      additional lines of the section [log]
+#   CallSettings     additional lines of the section [calls]
+#   NodeSettings     additional lines of the section [node]
 #   ExtraSettings    additional sections
 start_node() { # NAME DATA-CENTRE CALL PEER MEMBER ADMIN SEEDS LOG-PORT CONTROL
   cat >"$Run/$1.ini" <<S
@@ -82,7 +84,9 @@
 name = $1
 data-centre = $2
 address = 127.0.0.1
+${NodeSettings:-}
 [calls]
+${CallSettings:-}
 admission = ${Admission:-lanes}
 port = $3
 choice = ${Choice:-ours}
