Keep a request body once instead of for each of its owners

Cause: the call, each attempt, the request to the server and each buffer on the way had a copy of the body, and connections and the allocator kept the room of the largest one.

Change: the body is an immutable text that its owners share, a stream takes over the bytes that it is given, encoded frames move it, and large buffers are given back when they are empty.

--- /dev/null
+++ b/Source/Core/Common/Memory.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace Common {
+
+// Makes the allocator return the memory of large blocks to the machine as soon
+// as they are freed. By default it keeps more of it the larger the blocks were
+// that a process has freed, so that one large body would raise the memory of
+// the process for ever. Called once, before any other thread starts.
+void returnLargeBlocks();
+
+} // namespace Common
--- a/Source/Core/Http/KeepAliveClient.cpp
+++ b/Source/Core/Http/KeepAliveClient.cpp
@@ -173,7 +173,9 @@
                              Request.Method != "DELETE";
   if (MethodHasBody || !Request.Body.empty())
     appendField(Out, "content-length", std::to_string(Request.Body.size()));
-  Out.append("\r\n").append(Request.Body);
+  Out.append("\r\n");
+  Out.reserve(Out.size() + Request.Body.size());
+  Out.append(Request.Body.str());
   return Out;
 }
 
@@ -287,7 +289,7 @@
   Assigned.CurrentTransfer = Id;
   Assigned.Reader.emplace(Started.Request, Limits);
   Started.AssignedConnection = Selected;
-  Assigned.Stream->write(encode(Started.Request, Assigned.Server));
+  Assigned.Stream->writeOwned(encode(Started.Request, Assigned.Server));
 }
 
 void KeepAliveClient::Impl::handleBytes(ConnectionId Id,
--- a/Source/Core/Http/KeepAliveClient.h
+++ b/Source/Core/Http/KeepAliveClient.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "Common/SharedText.h"
 #include "Common/Time.h"
 #include "Http/Client.h"
 
@@ -15,7 +16,7 @@
   std::string Method;
   std::string Target;
   Headers Fields;
-  std::string Body;
+  Common::SharedText Body;
   Common::Micros Timeout{0};
   // Name of a field, in lower case, that the server echoes. A response is
   // accepted for this request only if it carries the value that was sent.
--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -19,6 +19,8 @@
 // Limit on reads per iteration of the event loop, so that a peer that sends as
 // fast as it is read doesn't starve other connections.
 constexpr int MaxChunksPerIteration = 4;
+// Room for outgoing bytes that a connection keeps when all are sent.
+constexpr std::size_t MaxKeptBytes = 64 << 10;
 // Time after which the kernel closes a connection with unacknowledged data. It
 // exceeds the longest series of retransmissions on the lossy links of the
 // users.
@@ -53,6 +55,7 @@
   void finishConnect();
   void readAll();
   void deliver(std::string_view Bytes);
+  void scheduleFlush();
   void writeAll();
   void close(StreamEnd End, const std::string &Reason);
 
@@ -165,6 +168,8 @@
     SentBytes += static_cast<std::size_t>(Count);
   }
   if (SentBytes == Outgoing.size()) {
+    if (Outgoing.capacity() > MaxKeptBytes)
+      std::string().swap(Outgoing);
     Outgoing.clear();
     SentBytes = 0;
     if (ClosingGracefully)
@@ -224,20 +229,33 @@
   return std::unique_ptr<ByteStream>(new ByteStream(std::move(State)));
 }
 
+void ByteStream::Impl::scheduleFlush() {
+  if (Connecting || WaitingForWrite || FlushScheduled)
+    return;
+  FlushScheduled = true;
+  Task.post([this, IsAlive = Alive] {
+    if (!*IsAlive || Closed)
+      return;
+    FlushScheduled = false;
+    if (!Connecting)
+      writeAll();
+  });
+}
+
 void ByteStream::write(std::string_view Bytes) {
   if (Self->Closed || Self->ClosingGracefully)
     return;
   Self->Outgoing.append(Bytes);
-  if (Self->Connecting || Self->WaitingForWrite || Self->FlushScheduled)
+  Self->scheduleFlush();
+}
+
+void ByteStream::writeOwned(std::string Bytes) {
+  if (!Self->Outgoing.empty() || Self->Closed || Self->ClosingGracefully) {
+    write(Bytes);
     return;
-  Self->FlushScheduled = true;
-  Self->Task.post([State = Self.get(), IsAlive = Self->Alive] {
-    if (!*IsAlive || State->Closed)
-      return;
-    State->FlushScheduled = false;
-    if (!State->Connecting)
-      State->writeAll();
-  });
+  }
+  Self->Outgoing = std::move(Bytes);
+  Self->scheduleFlush();
 }
 
 void ByteStream::closeGracefully() {
--- a/Source/Core/Net/ByteStream.h
+++ b/Source/Core/Net/ByteStream.h
@@ -47,6 +47,8 @@
   // bytes written in one iteration of the event loop are sent with one system
   // call.
   void write(std::string_view Bytes);
+  // Takes the bytes over instead of copying them if none are waiting.
+  void writeOwned(std::string Bytes);
   // Sends the remaining bytes and then shuts the connection down in order.
   // Received bytes are read and discarded, because closing a socket with unread
   // bytes resets the connection, which can discard a response on its way.
--- a/Source/Core/Node/ClaimedCall.cpp
+++ b/Source/Core/Node/ClaimedCall.cpp
@@ -50,7 +50,7 @@
   // distinct.
   return Common::hashOf(std::to_string(Start.Method.size()) + ' ' +
                         std::to_string(Start.Target.size()) + ' ' +
-                        Start.Method + Start.Target + Start.Body);
+                        Start.Method + Start.Target + Start.Body.str());
 }
 
 Once::Outcome toOutcome(const Routing::CallReply &Reply,
--- a/Source/Core/Routing/Call.h
+++ b/Source/Core/Routing/Call.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Common/ResultCode.h"
+#include "Common/SharedText.h"
 #include "Common/Time.h"
 
 namespace Routing {
@@ -24,7 +25,7 @@
   std::string Kind;
   std::string Method;
   std::string Target;
-  std::string Body;
+  Common::SharedText Body;
   std::map<std::string, std::string> Fields;
   // Time left until the deadline: a duration and not a point in time, as the
   // clocks of VMs differ.
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -29,7 +29,7 @@
   std::string Host;
   std::string Path;
   std::string Target;
-  std::string Body;
+  Common::SharedText Body;
   std::map<std::string, std::string> Fields;
   std::string CorrelationId;
   std::string Caller;
--- a/Source/Core/Wire/Codec.cpp
+++ b/Source/Core/Wire/Codec.cpp
@@ -32,7 +32,7 @@
   Part.Kind = From.Kind;
   Part.Method = From.Method;
   Part.Target = From.Target;
-  Part.Body = From.Body;
+  Part.Body = From.Body.str();
   Part.Headers = From.Fields;
   Part.RemainingMicros = From.Remaining.count();
   Part.AttemptsLeft = From.AttemptsLeft;
@@ -50,7 +50,9 @@
   Part.Tenant = From.Tenant;
   Part.ExpectedCostMicros = From.ExpectedCost.count();
   Generated::Frame Result;
-  Result.__set_Request(Part);
+  // Moved, since the setters copy, and bodies may be large.
+  Result.Request = std::move(Part);
+  Result.__isset.Request = true;
   return Result;
 }
 
@@ -71,7 +73,8 @@
   Part.FailurePercent = From.Load.FailurePercent;
   Part.BacklogMicros = From.Load.Backlog.count();
   Generated::Frame Result;
-  Result.__set_Reply(Part);
+  Result.Reply = std::move(Part);
+  Result.__isset.Reply = true;
   return Result;
 }
 
--- a/Source/Core/Wire/FrameSocket.cpp
+++ b/Source/Core/Wire/FrameSocket.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t LengthBytes = 4;
+// Room for received bytes that a connection keeps between frames.
+constexpr std::size_t MaxKeptBytes = 256 << 10;
 
 } // namespace
 
@@ -67,6 +69,8 @@
     Position += Length;
   }
   Incoming.erase(0, Position);
+  if (Incoming.empty() && Incoming.capacity() > MaxKeptBytes)
+    std::string().swap(Incoming);
 }
 
 bool FrameSocket::Impl::deliverFrame(std::string_view Content) {
--- a/Source/Programs/zinnia-node/Main.cpp
+++ b/Source/Programs/zinnia-node/Main.cpp
@@ -5,6 +5,7 @@
 #include "Common/CommandLine.h"
 #include "Common/Error.h"
 #include "Common/Log.h"
+#include "Common/Memory.h"
 #include "Node/NodeBuilder.h"
 
 namespace {
@@ -14,6 +15,7 @@
 }
 
 int runNode(int ArgCount, const char **Args) {
+  Common::returnLargeBlocks();
   std::string File;
   bool CheckOnly = false;
   const auto Operands =
