Bound what a process holds for callers that nobody controls

Cause: each request was bounded, but not all of them together, so crowds of legal requests took a process past its memory, and connections past its descriptors.

Change: each listener has a budget, a share of the new settings [node] memory-limit and descriptor-limit. When it is spent, stalled and slow incomplete requests give way, then large ones to ordinary ones; otherwise the request that asks is refused with 503 and Retry-After. A body without a byte for the idle timeout ends with 408. The backend server's queue and the frames to one peer have shares too, and a body that fits into no frame is refused instead of ending the connection between two nodes.

--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -4,11 +4,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/status.hpp>
-
 #include "Http/BeastConversions.h"
-#include "Http/BoundedBody.h"
+#include "Http/BufferBudget.h"
+#include "Http/EdgeConnection.h"
 #include "Net/Listener.h"
 
 namespace Http {
@@ -17,7 +15,8 @@
 
 namespace beast = boost::beast;
 using Common::SteadyTime;
-using Parser = beast::http::request_parser<BoundedBody>;
+using Edge::Connection;
+using Edge::Phase;
 
 constexpr Common::Millis SweepInterval{250};
 // How long a caller may take to close a connection that the server has shut
@@ -31,58 +30,11 @@
 // the slowest links, so it ends only requests that would never be complete.
 constexpr std::int64_t MinBodyBytesPerSecond = 1 << 10;
 
-constexpr int HeaderFieldsTooLarge = 431;
-
-enum class Phase { Idle, Reading, Responding, Closing };
-
-struct Connection {
-  std::unique_ptr<Net::ByteStream> Stream;
-  Phase State = Phase::Idle;
-  std::string Incoming;
-  std::unique_ptr<Parser> RequestParser;
-  // Bytes of the request that is being read.
-  std::int64_t RequestBytes = 0;
-  ExchangeId Exchange = 0;
-  // When the current phase began.
-  SteadyTime PhaseStart;
-  bool KeepAlive = true;
-  bool OmitBody = false;
-  bool ContinueSent = false;
-};
+// How soon a caller that was refused for lack of memory may try again.
+constexpr const char *RetryAfterSeconds = "1";
 
-int statusForError(const beast::error_code &Error) {
-  constexpr int BadRequest = 400;
-  constexpr int ContentTooLarge = 413;
-  if (Error == beast::http::error::body_limit)
-    return ContentTooLarge;
-  if (Error == beast::http::error::header_limit)
-    return HeaderFieldsTooLarge;
-  return BadRequest;
-}
-
-bool mayHaveBody(int Status) {
-  constexpr int NoContent = 204;
-  constexpr int NotModified = 304;
-  return Status != NoContent && Status != NotModified;
-}
-
-std::string encode(const Response &Reply, bool KeepAlive, bool WithBody) {
-  std::string Out = "HTTP/1.1 " + std::to_string(Reply.Status) + " ";
-  Out.append(toView(beast::http::obsolete_reason(
-      static_cast<beast::http::status>(Reply.Status))));
-  Out.append("\r\n");
-  for (const auto &[Name, Value] : Reply.Fields)
-    if (Name != "content-length" && Name != "connection")
-      appendField(Out, Name, Value);
-  if (mayHaveBody(Reply.Status))
-    appendField(Out, "content-length", std::to_string(Reply.Body.size()));
-  if (!KeepAlive)
-    appendField(Out, "connection", "close");
-  Out.append("\r\n");
-  if (WithBody && mayHaveBody(Reply.Status))
-    Out.append(Reply.Body);
-  return Out;
-}
+constexpr int RequestTimeout = 408;
+constexpr int ServiceUnavailable = 503;
 
 } // namespace
 
@@ -91,6 +43,8 @@
 
   explicit Impl(const EdgeServerBuilder &Builder)
       : Task(Builder.Task), Clock(Builder.Task), Limits(Builder.Limits),
+        Capacity(Builder.Capacity),
+        Budget({.Bytes = Builder.Capacity.BufferedBytes}),
         OnRequest(Builder.OnRequest),
         OnCallerDisconnected(Builder.OnCallerDisconnected) {}
 
@@ -100,7 +54,11 @@
   void handleBytes(ConnectionId Id, std::string_view Bytes);
   void parse(ConnectionId Id, Connection &Peer);
   void dispatch(ConnectionId Id, Connection &Peer);
-  void reject(Connection &Peer, int Status);
+  void reject(ConnectionId Id, Connection &Peer, int Status);
+  bool mayHold(ConnectionId Id, const Connection &Peer);
+  void giveWay(const std::vector<ConnectionId> &Ids);
+  void makeRoom();
+  void recordUnsent(ConnectionId Id, const Connection &Peer);
   void close(Connection &Peer);
   void handleClosed(ConnectionId Id);
   void sweep();
@@ -113,6 +71,8 @@
   Kernel::Task &Task;
   Kernel::Timers Clock;
   EdgeLimits Limits;
+  EdgeCapacity Capacity;
+  BufferBudget Budget;
   std::function<void(ExchangeId, Request)> OnRequest;
   std::function<void(ExchangeId)> OnCallerDisconnected;
   std::unique_ptr<Net::Listener> Listener;
@@ -125,6 +85,8 @@
 };
 
 void EdgeServer::Impl::accept(const Net::Listener::Adopter &Adopt) {
+  if (Connections.size() >= Capacity.Connections)
+    makeRoom();
   const ConnectionId Id = NextConnection++;
   Net::ByteStream::Events Handlers;
   Handlers.OnBytes = [this, Id](std::string_view Bytes) {
@@ -133,35 +95,99 @@
   Handlers.OnClosed = [this, Id](Net::StreamEnd, const std::string &) {
     handleClosed(Id);
   };
+  auto Stream = Adopt(std::move(Handlers));
+  if (Connections.size() >= Capacity.Connections)
+    return; // Closes the new connection.
   Connection &Opened = Connections[Id];
-  Opened.Stream = Adopt(std::move(Handlers));
+  Opened.Stream = std::move(Stream);
   enterPhase(Opened, Phase::Idle);
 }
 
+// Closes the connection that is least likely to be missed: one that waits for
+// its caller to close it, then the one that has been idle for longest, then the
+// one that has been sending its request for longest. None if all of them have
+// a request open.
+void EdgeServer::Impl::makeRoom() {
+  const auto Rank = [](const Connection &Candidate) {
+    return Candidate.State == Phase::Closing ? 0
+           : Candidate.State == Phase::Idle  ? 1
+                                             : 2;
+  };
+  auto Selected = Connections.end();
+  for (auto Next = Connections.begin(); Next != Connections.end(); ++Next)
+    if (Next->second.State != Phase::Responding &&
+        (Selected == Connections.end() ||
+         std::pair(Rank(Next->second), Next->second.PhaseStart) <
+             std::pair(Rank(Selected->second), Selected->second.PhaseStart)))
+      Selected = Next;
+  if (Selected == Connections.end())
+    return;
+  Budget.release(Selected->first);
+  Connections.erase(Selected);
+}
+
+// Whether the memory that the connection takes now fits. Makes others give way
+// for it.
+bool EdgeServer::Impl::mayHold(ConnectionId Id, const Connection &Peer) {
+  const auto Decision = Budget.request(
+      Id, Peer.Stream->unsentBytes() + Peer.Incoming.size() + Peer.HeldBytes,
+      now());
+  giveWay(Decision.GiveWay);
+  return Decision.Granted;
+}
+
+void EdgeServer::Impl::giveWay(const std::vector<ConnectionId> &Ids) {
+  for (const ConnectionId Id : Ids) {
+    Connection &Peer = Connections.at(Id);
+    if (Peer.State == Phase::Reading)
+      reject(Id, Peer, ServiceUnavailable);
+    else
+      Peer.Stream->closeNow("too many bytes held for callers");
+  }
+}
+
+// Keeps account of a response that the caller has not taken yet.
+void EdgeServer::Impl::recordUnsent(ConnectionId Id, const Connection &Peer) {
+  const std::size_t Unsent = Peer.Stream->unsentBytes();
+  if (Unsent + Peer.Incoming.size() == 0)
+    Budget.release(Id);
+  else
+    giveWay(Budget.record(Id, Unsent + Peer.Incoming.size(), now()));
+}
+
 void EdgeServer::Impl::handleBytes(ConnectionId Id, std::string_view Bytes) {
   const auto Found = Connections.find(Id);
   if (Found == Connections.end() || Found->second.State == Phase::Closing)
     return;
   Connection &Peer = Found->second;
+  if (Peer.Discarding)
+    return;
+  Peer.LastReceived = now();
   Peer.Incoming.append(Bytes);
-  if (Peer.State != Phase::Responding)
+  if (Peer.State != Phase::Responding) {
+    Budget.progressed(Id, Bytes.size(), Peer.LastReceived);
     parse(Id, Peer);
-  else if (Peer.Incoming.size() > MaxPipelinedBytes)
+    return;
+  }
+  if (!mayHold(Id, Peer)) {
+    // The connection is closed after the current response, and the requests
+    // behind it have not been read.
+    Peer.KeepAlive = false;
+    Peer.Discarding = true;
+    std::string().swap(Peer.Incoming);
+  } else if (Peer.Incoming.size() > MaxPipelinedBytes) {
     Peer.Stream->setReading(false);
+  }
 }
 
 void EdgeServer::Impl::parse(ConnectionId Id, Connection &Peer) {
   if (Peer.Incoming.empty())
     return;
   if (!Peer.RequestParser) {
-    Peer.RequestParser = std::make_unique<Parser>();
-    Peer.RequestParser->eager(true);
-    Peer.RequestParser->header_limit(
-        static_cast<std::uint32_t>(Limits.HeaderBytes));
-    Peer.RequestParser->body_limit(Limits.BodyBytes);
-    Peer.RequestParser->get().body().Limit = Limits.BodyBytes;
+    Peer.RequestParser = makeEdgeParser(Limits);
     Peer.ContinueSent = false;
     Peer.RequestBytes = 0;
+    Peer.FieldBytes = 0;
     enterPhase(Peer, Phase::Reading);
   }
   beast::error_code Error;
@@ -178,7 +204,16 @@
   Peer.Incoming.erase(0, Offset);
   Peer.RequestBytes += static_cast<std::int64_t>(Offset);
   if (Error && Error != beast::http::error::need_more) {
-    reject(Peer, statusForError(Error));
+    reject(Id, Peer, statusForError(Error));
+    return;
+  }
+  if (Peer.RequestParser->is_header_done()) {
+    if (Peer.FieldBytes == 0)
+      Peer.FieldBytes = memoryOfFields(*Peer.RequestParser);
+    Peer.HeldBytes = Peer.FieldBytes + memoryOfBody(*Peer.RequestParser);
+  }
+  if (!mayHold(Id, Peer)) {
+    reject(Id, Peer, ServiceUnavailable);
     return;
   }
   if (Peer.RequestParser->is_done()) {
@@ -188,7 +223,7 @@
   // The parser limits the header section, but neither chunk headers nor
   // trailers.
   if (Peer.Incoming.size() > Limits.HeaderBytes) {
-    reject(Peer, HeaderFieldsTooLarge);
+    reject(Id, Peer, HeaderFieldsTooLarge);
     return;
   }
   if (!Peer.RequestParser->is_header_done() || Peer.ContinueSent)
@@ -201,28 +236,28 @@
 }
 
 void EdgeServer::Impl::dispatch(ConnectionId Id, Connection &Peer) {
-  auto Message = Peer.RequestParser->release();
+  Peer.KeepAlive = Peer.RequestParser->keep_alive();
+  Peer.OmitBody = Peer.RequestParser->get().method() == beast::http::verb::head;
+  Request Received = takeRequest(*Peer.RequestParser);
   Peer.RequestParser.reset();
-  Request Received;
-  Received.Method = std::string(toView(Message.method_string()));
-  Received.Target = std::string(toView(Message.target()));
-  Received.Path = Received.Target.substr(0, Received.Target.find('?'));
-  Received.Fields = toHeaders(Message);
-  Received.Body = std::move(Message.body().Text);
   Received.Caller = Peer.Stream->peerAddress();
-  Peer.KeepAlive = Message.keep_alive();
-  Peer.OmitBody = Message.method() == beast::http::verb::head;
   Peer.Exchange = NextExchange++;
   Exchanges.emplace(Peer.Exchange, Id);
+  Budget.setMayGiveWay(Id, false);
   enterPhase(Peer, Phase::Responding);
   OnRequest(Peer.Exchange, std::move(Received));
 }
 
-void EdgeServer::Impl::reject(Connection &Peer, int Status) {
+void EdgeServer::Impl::reject(ConnectionId Id, Connection &Peer, int Status) {
   Response Reply;
   Reply.Status = Status;
-  Peer.Stream->write(encode(Reply, false, false));
+  if (Status == ServiceUnavailable)
+    Reply.Fields["retry-after"] = RetryAfterSeconds;
+  Peer.Stream->write(encodeResponse(Reply, false, false));
   close(Peer);
+  Peer.RequestParser.reset();
+  std::string().swap(Peer.Incoming);
+  Budget.release(Id);
 }
 
 void EdgeServer::Impl::close(Connection &Peer) {
@@ -231,6 +266,7 @@
 }
 
 void EdgeServer::Impl::handleClosed(ConnectionId Id) {
+  Budget.release(Id);
   const auto Entry = Connections.extract(Id);
   if (Entry.empty() || Entry.mapped().State != Phase::Responding)
     return;
@@ -251,20 +287,25 @@
 // all connections.
 void EdgeServer::Impl::sweep() {
   Clock.after(SweepInterval, [this] { sweep(); });
-  constexpr int RequestTimeout = 408;
   const SteadyTime Now = now();
   std::vector<ConnectionId> Lingering;
   for (auto &[Id, Open] : Connections) {
     const Common::Duration Age = Now - Open.PhaseStart;
     if (Open.State == Phase::Idle && Age > Limits.IdleTimeout)
       close(Open);
-    else if (Open.State == Phase::Reading && Age > readTimeout(Open))
-      reject(Open, RequestTimeout);
+    else if (Open.State == Phase::Reading &&
+             (Age > readTimeout(Open) ||
+              Now - Open.LastReceived > Limits.IdleTimeout))
+      reject(Id, Open, RequestTimeout);
     else if (Open.State == Phase::Closing && Age > LingerTimeout)
       Lingering.push_back(Id);
+    if (Open.State == Phase::Idle || Open.State == Phase::Closing)
+      recordUnsent(Id, Open);
   }
-  for (const ConnectionId Id : Lingering)
+  for (const ConnectionId Id : Lingering) {
+    Budget.release(Id);
     Connections.erase(Id);
+  }
 }
 
 EdgeServer::EdgeServer(std::unique_ptr<Impl> State) : Self(std::move(State)) {}
@@ -274,6 +315,10 @@
 
 std::size_t EdgeServer::openExchanges() const { return Self->Exchanges.size(); }
 
+std::size_t EdgeServer::bufferedBytes() const {
+  return Self->Budget.heldBytes();
+}
+
 void EdgeServer::respond(ExchangeId Id, const Response &Reply) {
   const auto Entry = Self->Exchanges.extract(Id);
   if (Entry.empty())
@@ -283,12 +328,17 @@
   // Requests that were received before the stop are answered first.
   const bool KeepAlive =
       Peer.KeepAlive && (!Self->Draining || !Peer.Incoming.empty());
-  Peer.Stream->write(encode(Reply, KeepAlive, !Peer.OmitBody));
+  Peer.Stream->writeOwned(encodeResponse(Reply, KeepAlive, !Peer.OmitBody));
+  Peer.HeldBytes = 0;
+  Self->Budget.release(ConnectionKey);
+  Self->recordUnsent(ConnectionKey, Peer);
   if (!KeepAlive) {
     Self->close(Peer);
     return;
   }
   Self->enterPhase(Peer, Phase::Idle);
+  if (Peer.Incoming.empty())
+    std::string().swap(Peer.Incoming);
   Peer.Stream->setReading(true);
   if (Peer.Incoming.empty())
     return;
@@ -328,6 +378,11 @@
   return *this;
 }
 
+EdgeServerBuilder &EdgeServerBuilder::capacity(const EdgeCapacity &Value) {
+  Capacity = Value;
+  return *this;
+}
+
 EdgeServerBuilder &
 EdgeServerBuilder::onRequest(std::function<void(ExchangeId, Request)> Value) {
   OnRequest = std::move(Value);
--- a/Source/Core/Http/EdgeServer.h
+++ b/Source/Core/Http/EdgeServer.h
@@ -18,6 +18,14 @@
   Common::Duration IdleTimeout = Common::Millis(60'000);
 };
 
+// How much a server holds for all its callers together. Beyond it, callers
+// whose requests are incomplete are refused or closed, those that hold most and
+// make no progress first.
+struct EdgeCapacity {
+  std::size_t BufferedBytes = 64 << 20;
+  std::size_t Connections = 4096;
+};
+
 // The HTTP server for callers. Unlike Server, it passes the request target on
 // unchanged, reports when a caller disconnects while its request is open, and
 // rejects requests with ambiguous framing, which would allow request smuggling.
@@ -29,6 +37,7 @@
 
   int port() const;
   std::size_t openExchanges() const;
+  std::size_t bufferedBytes() const;
   // Ignores an id that is no longer open, because its caller has disconnected.
   void respond(ExchangeId Id, const Response &Reply);
   // Applies to requests that begin after the call.
@@ -53,6 +62,7 @@
   // 0 selects a free port.
   EdgeServerBuilder &port(int Value);
   EdgeServerBuilder &limits(const EdgeLimits &Value);
+  EdgeServerBuilder &capacity(const EdgeCapacity &Value);
   EdgeServerBuilder &onRequest(std::function<void(ExchangeId, Request)> Value);
   // Called when a caller closes its connection before it has its response.
   EdgeServerBuilder &
@@ -67,6 +77,7 @@
   std::string Address = "127.0.0.1";
   int Port = 0;
   EdgeLimits Limits;
+  EdgeCapacity Capacity;
   std::function<void(ExchangeId, Request)> OnRequest;
   std::function<void(ExchangeId)> OnCallerDisconnected = [](ExchangeId) {};
 };
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -13,6 +13,7 @@
 #include "Http/KeepAliveClient.h"
 #include "Kernel/Host.h"
 #include "Node/CallResponse.h"
+#include "Node/MemoryShares.h"
 #include "Node/Messages.h"
 #include "Node/NodeSettings.h"
 #include "Wire/FrameSocket.h"
@@ -64,6 +65,9 @@
     Common::SteadyTime Started;
     Common::SteadyTime Deadline;
     std::optional<Http::TransferId> Transfer;
+    // Counted towards HeldBytes. That of a local caller's request is counted
+    // where it arrived.
+    std::size_t Bytes = 0;
   };
   // How long after the deadline the server may still report by itself that the
   // deadline has passed.
@@ -81,12 +85,25 @@
     return std::chrono::duration_cast<Common::Micros>(Length).count();
   }
 
+  // The request and its copy on the way to the server.
+  static std::size_t memoryOf(const Routing::CallRequest &Request) {
+    constexpr std::size_t Copies = 2;
+    constexpr std::size_t FieldBytes = 128;
+    std::size_t Bytes = Request.Target.size() + Request.Body.size();
+    for (const auto &[Name, Value] : Request.Fields)
+      Bytes += FieldBytes + Name.size() + Value.size();
+    return Copies * Bytes;
+  }
+
   void onMessage(RequestArrived &Event) {
     const Admission::QueuedCallId Id = NextId++;
     OpenCall Call;
     Call.Origin = Event.Origin;
     Call.Request = std::move(Event.Request);
     Call.Arrived = now();
+    if (Call.Origin != LocalOrigin)
+      Call.Bytes = memoryOf(Call.Request);
+    HeldBytes += Call.Bytes;
     // The remaining time counts from when the request left the caller-side
     // node, so a pause of this process before it was read is subtracted.
     Call.Deadline =
@@ -97,6 +114,12 @@
       refuse(Id, Common::ResultCode::ServiceUnknown);
       return;
     }
+    // A single request is taken whatever its size, since a frame limits it.
+    if (HeldBytes > percentOf(Settings.MemoryLimit, ServerPercent) &&
+        HeldBytes > Opened.Bytes) {
+      refuse(Id, Common::ResultCode::QueueFull);
+      return;
+    }
     act(Queue.offer(
         {.Id = Id,
          .LongLane = Opened.Request.LongLane,
@@ -268,6 +291,7 @@
 
   void forget(Admission::QueuedCallId Id) {
     const auto Removed = Calls.extract(Id);
+    HeldBytes -= Removed.mapped().Bytes;
     CallIds.erase(
         AttemptKey(Removed.mapped().Origin, Removed.mapped().Request.Attempt));
   }
@@ -307,6 +331,8 @@
   // Smoothed share of calls that failed at the server.
   double FailureShare = 0;
   std::unordered_map<Admission::QueuedCallId, OpenCall> Calls;
+  // The memory of the requests of other nodes' callers.
+  std::size_t HeldBytes = 0;
   std::map<AttemptKey, Admission::QueuedCallId> CallIds;
   Admission::QueuedCallId NextId = 1;
   std::optional<Kernel::TimerId> Timer;
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -11,6 +11,7 @@
 #include "Kernel/Host.h"
 #include "Node/CallResponse.h"
 #include "Node/ClaimedCall.h"
+#include "Node/MemoryShares.h"
 #include "Node/Messages.h"
 #include "Node/NodeSettings.h"
 #include "Once/PendingCalls.h"
@@ -55,6 +56,7 @@
             .address(Settings.CallAddress)
             .port(Settings.CallPort)
             .limits(Limits)
+            .capacity(callerCapacity(Settings))
             .onRequest([this](Http::ExchangeId Id, Http::Request Request) {
               handleRequest(Id, std::move(Request));
             })
--- /dev/null
+++ b/Source/Core/Node/MemoryShares.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <algorithm>
+
+#include "Http/EdgeServer.h"
+#include "Node/NodeSettings.h"
+
+namespace Node {
+
+// How the memory and the descriptors of the machine are divided. Each service
+// keeps to its own share, so that none has to know what the others hold. What
+// is left is for the process itself and for what exists only for a moment, such
+// as a frame while it is encoded.
+
+// For what callers send and have not taken yet. A body counts twice, so that
+// one of 64 MiB fits into the share of 260 MB.
+constexpr std::size_t CallerPercent = 55;
+// For the requests of other nodes' callers that wait for the backend server.
+constexpr std::size_t ServerPercent = 12;
+// For the frames that a single peer has not taken yet.
+constexpr std::size_t PeerPercent = 6;
+// For the calls of the backend server to its own node.
+constexpr std::size_t ControlPercent = 6;
+constexpr std::size_t ReadyPercent = 2;
+// The rest is for peers, for the backend server and for files.
+constexpr std::size_t CallerDescriptorPercent = 75;
+
+constexpr std::size_t percentOf(std::size_t Whole, std::size_t Percent) {
+  return Whole * Percent / 100;
+}
+
+inline Http::EdgeCapacity callerCapacity(const NodeSettings &Settings) {
+  return {percentOf(Settings.MemoryLimit, CallerPercent),
+          std::max<std::size_t>(
+              1, percentOf(Settings.DescriptorLimit, CallerDescriptorPercent))};
+}
+
+} // namespace Node
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -55,6 +55,18 @@
                           " is neither lanes nor fifo");
 }
 
+std::size_t parseMegabytes(const std::string &Text) {
+  constexpr double BytesPerMegabyte = 1e6;
+  double Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Rest, Failure] = std::from_chars(Text.data(), End, Value);
+  if (Failure != std::errc() || Rest != End || !(Value >= 1))
+    throw Common::Error(Common::ResultCode::SettingsWrongType,
+                        "[node] memory-limit: " + Text +
+                            " is not a number of at least 1");
+  return static_cast<std::size_t>(Value * BytesPerMegabyte);
+}
+
 bool parseEveryNodeReads(const std::string &Follow) {
   if (Follow != "readers" && Follow != "all")
     throw Common::Error(Common::ResultCode::SettingsWrongType,
@@ -95,6 +107,13 @@
        0,
        "data centre of the VM"},
       {"node", "address", SettingType::Text, {}, 0, 0, "IP address of the VM"},
+      {"node", "memory-limit", SettingType::Text, "512", 0, 0,
+       "memory of the machine in MB; what callers and peers may take of it is "
+       "bounded by shares of it"},
+      {"node", "descriptor-limit", SettingType::Integer, "65536", 16,
+       10'000'000,
+       "descriptors that the process may have open; three quarters of them are "
+       "for connections of callers"},
       {"calls", "port", SettingType::Integer, "0", 0, MaxPort,
        "HTTP port for callers; 0 selects a free port"},
       {"calls", "body-limit", SettingType::Integer, "1048576", 1024, 8 << 20,
@@ -190,6 +209,9 @@
   Result.Address = From.text("node", "address");
   Result.CallAddress = Result.Address;
   Result.CallPort = static_cast<int>(From.integer("calls", "port"));
+  Result.MemoryLimit = parseMegabytes(From.text("node", "memory-limit"));
+  Result.DescriptorLimit =
+      static_cast<std::size_t>(From.integer("node", "descriptor-limit"));
   Result.BodyLimit =
       static_cast<std::size_t>(From.integer("calls", "body-limit"));
   Result.OpenCallLimit =
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -37,6 +37,10 @@
   // settings name another one.
   std::string CallAddress;
   int CallPort = 0;
+  // The memory of the machine, in bytes, and the descriptors that the process
+  // may have open.
+  std::size_t MemoryLimit = 512'000'000;
+  std::size_t DescriptorLimit = 65'536;
   int PeerPort = 0;
   Common::Micros EchoInterval{0};
   Common::Micros IdleEchoInterval{0};
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -18,6 +18,7 @@
 #include "Membership/DataCentreReachability.h"
 #include "Membership/EchoMonitor.h"
 #include "Membership/LoadReportScheduler.h"
+#include "Node/MemoryShares.h"
 #include "Node/Messages.h"
 #include "Node/NodeSettings.h"
 #include "Wire/Codec.h"
@@ -66,6 +67,8 @@
 private:
   static constexpr Common::Millis TickInterval{100};
   static constexpr int MaxMissedIdleEchoes = 3;
+  // The rest of a frame is for the fields of the request.
+  static constexpr std::size_t MaxBodyBytes = Wire::MaxFrameBytes - (1 << 20);
 
   struct OutboundConnection {
     std::unique_ptr<Wire::FrameSocket> Socket;
@@ -101,8 +104,20 @@
       refuse(Command.Request.Attempt);
       return;
     }
+    // A frame over the limit would make the receiver end the connection, and
+    // with it the requests of others.
+    if (Command.Request.Body.size() > MaxBodyBytes) {
+      refuse(Command.Request.Attempt, Common::ResultCode::BodyTooLarge);
+      return;
+    }
     OutboundConnection &Connection =
         outbound(Command.Address, otherDataCentre(Command.DataCentre));
+    const std::size_t Unsent = Connection.Socket->unsentBytes();
+    if (Unsent > 0 && Unsent + Command.Request.Body.size() >
+                          percentOf(Settings.MemoryLimit, PeerPercent)) {
+      refuse(Command.Request.Attempt, Common::ResultCode::QueueFull);
+      return;
+    }
     Connection.PendingAttempts.insert(Command.Request.Attempt);
     Connection.Socket->send(Wire::encodeFrame(Command.Request));
   }
@@ -230,10 +245,11 @@
       refuse(Attempt);
   }
 
-  void refuse(Routing::AttemptId Attempt) {
+  void refuse(Routing::AttemptId Attempt,
+              Common::ResultCode Code = Common::ResultCode::PeerUnreachable) {
     Routing::CallReply Refused;
     Refused.Attempt = Attempt;
-    Refused.Result = Common::ResultCode::PeerUnreachable;
+    Refused.Result = Code;
     Targets.ToIngress.post(ReplyArrived{std::move(Refused)});
   }
 
--- a/Tools/scenarios/crowd.sh
+++ b/Tools/scenarios/crowd.sh
@@ -27,6 +27,8 @@
 name = s0
 data-centre = leicester
 address = 127.0.0.1
+memory-limit = $MemoryMb
+descriptor-limit = $Descriptors
 [peers]
 port = ${Ports[1]}
 [members]
@@ -50,6 +52,7 @@
   Ordinary=127.0.0.1:${Ports[3]}/v1/readyz=503
   wait_until 20 curl -s "http://127.0.0.1:${Ports[3]}/v1/readyz"
 else
+  NodeSettings="memory-limit = $MemoryMb"$'\n'"descriptor-limit = $Descriptors"
   CallSettings='body-limit = 8388608'
   start_node n0 leicester "${Ports[0]}" "${Ports[1]}" "${Ports[2]}" \
     "${Ports[3]}" "127.0.0.1:${Ports[2]}" "$LogPort" "${Ports[5]}"
