--- a/Source/Core/Common/Settings.cpp
+++ b/Source/Core/Common/Settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
+#include <sstream>
 
 #include "Common/Error.h"
 
@@ -174,6 +175,19 @@
   }
 }
 
+SettingsBuilder &SettingsBuilder::input(const SettingsText &Further) {
+  std::string Ini;
+  std::istringstream Parts(Further.Entries);
+  for (std::string Entry; std::getline(Parts, Entry, ',');) {
+    const std::size_t Dot = Entry.find('.');
+    if (Dot == std::string::npos)
+      Ini += Entry + "\n";
+    else if (Entry.back() != '=')
+      Ini += "[" + Entry.substr(0, Dot) + "]\n" + Entry.substr(Dot + 1) + "\n";
+  }
+  return input(Further.Origin, Ini);
+}
+
 const std::vector<Fault> &SettingsBuilder::faults() {
   check();
   return Faults;
@@ -187,9 +201,12 @@
 }
 
 Settings readSettingsFile(const std::vector<SettingRule> &Rules,
-                          const std::string &File) {
+                          const std::string &File,
+                          const SettingsText &Further) {
   SettingsBuilder Builder;
   Builder.rules(Rules).input(File, readFile(File));
+  if (!Further.Entries.empty())
+    Builder.input(Further);
   for (const Fault &Found : Builder.faults())
     std::fprintf(stderr, "%s\n", Found.text().c_str());
   return Builder.build();
--- a/Source/Core/Common/Settings.h
+++ b/Source/Core/Common/Settings.h
@@ -41,6 +41,14 @@
   std::map<std::string, std::string> Values;
 };
 
+// Further settings, as "section.key=value" entries separated by commas. Entries
+// without a value are left out, so that their defaults apply.
+struct SettingsText {
+  // Where they come from, for faults.
+  std::string Origin;
+  std::string Entries;
+};
+
 // Collects rules and input, and validates all input before it builds Settings.
 class SettingsBuilder {
 public:
@@ -48,6 +56,7 @@
   SettingsBuilder &rules(const std::vector<SettingRule> &Rules);
   // Adds the text of a file. A key may occur only once in all files.
   SettingsBuilder &input(const std::string &File, const std::string &Text);
+  SettingsBuilder &input(const SettingsText &Further);
 
   // Returns all faults of the input.
   const std::vector<Fault> &faults();
@@ -68,10 +77,11 @@
   bool Checked = false;
 };
 
-// Reads a settings file. Prints all its faults to standard error and throws an
-// Error for the first one.
+// Reads a settings file and further settings. Prints all faults to standard
+// error and throws an Error for the first one.
 Settings readSettingsFile(const std::vector<SettingRule> &Rules,
-                          const std::string &File);
+                          const std::string &File,
+                          const SettingsText &Further = {});
 
 // Describes the values that a rule allows, for error messages and docs.
 std::string describeAllowed(const SettingRule &Rule);
--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -1,16 +1,13 @@
 #include "Http/EdgeServer.h"
 
-#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/status.hpp>
-
 #include "Http/BeastConversions.h"
-#include "Http/BoundedBody.h"
+#include "Http/BufferBudget.h"
+#include "Http/EdgeConnection.h"
 #include "Net/Listener.h"
 
 namespace Http {
@@ -19,7 +16,9 @@
 
 namespace beast = boost::beast;
 using Common::SteadyTime;
-using Parser = beast::http::request_parser<BoundedBody>;
+using Edge::Connection;
+using Edge::OpenExchange;
+using Edge::Phase;
 
 constexpr Common::Millis SweepInterval{250};
 // How long a caller may take to close a connection that the server has shut
@@ -35,39 +34,11 @@
 // the slowest links, so it ends only requests that would never be complete.
 constexpr std::int64_t MinBodyBytesPerSecond = 1 << 10;
 
-constexpr int HeaderFieldsTooLarge = 431;
-
-enum class Phase { Idle, Reading, Responding, Closing };
+// How soon a caller that was refused for lack of memory may try again.
+constexpr const char *RetryAfterSeconds = "1";
 
-// A request that was passed on and whose response was not sent yet.
-struct OpenExchange {
-  ExchangeId Id = 0;
-  bool KeepAlive = true;
-  bool OmitBody = false;
-  // Whether requests behind it may run before it is answered.
-  bool MayOverlap = false;
-  // Set when the response waits for those of earlier requests.
-  std::optional<Response> Ready;
-};
-
-struct Connection {
-  std::unique_ptr<Net::ByteStream> Stream;
-  Phase State = Phase::Idle;
-  std::string Incoming;
-  std::unique_ptr<Parser> RequestParser;
-  // Bytes of the request that is being read.
-  std::int64_t RequestBytes = 0;
-  // In the order of the requests, which is that of the responses.
-  std::deque<OpenExchange> Open;
-  // A complete request that has to wait until the open ones are answered.
-  std::optional<std::pair<OpenExchange, Request>> Held;
-  // The status with which to reject the connection after the open requests are
-  // answered.
-  std::optional<int> PendingRejection;
-  // When the current phase began.
-  SteadyTime PhaseStart;
-  bool ContinueSent = false;
-};
+constexpr int RequestTimeout = 408;
+constexpr int ServiceUnavailable = 503;
 
 // Whether a request that follows the open ones may be parsed.
 bool mayParse(const Connection &Peer) {
@@ -78,38 +49,13 @@
           Peer.Open.size() < MaxPipelinedRequests);
 }
 
-int statusForError(const beast::error_code &Error) {
-  constexpr int BadRequest = 400;
-  constexpr int ContentTooLarge = 413;
-  if (Error == beast::http::error::body_limit)
-    return ContentTooLarge;
-  if (Error == beast::http::error::header_limit)
-    return HeaderFieldsTooLarge;
-  return BadRequest;
-}
-
-bool mayHaveBody(int Status) {
-  constexpr int NoContent = 204;
-  constexpr int NotModified = 304;
-  return Status != NoContent && Status != NotModified;
-}
-
-std::string encode(const Response &Reply, bool KeepAlive, bool WithBody) {
-  std::string Out = "HTTP/1.1 " + std::to_string(Reply.Status) + " ";
-  Out.append(toView(beast::http::obsolete_reason(
-      static_cast<beast::http::status>(Reply.Status))));
-  Out.append("\r\n");
-  for (const auto &[Name, Value] : Reply.Fields)
-    if (Name != "content-length" && Name != "connection")
-      appendField(Out, Name, Value);
-  if (mayHaveBody(Reply.Status))
-    appendField(Out, "content-length", std::to_string(Reply.Body.size()));
-  if (!KeepAlive)
-    appendField(Out, "connection", "close");
-  Out.append("\r\n");
-  if (WithBody && mayHaveBody(Reply.Status))
-    Out.append(Reply.Body);
-  return Out;
+// The memory that the connection takes for its caller.
+std::size_t heldBytes(const Connection &Peer) {
+  std::size_t Result =
+      Peer.Stream->unsentBytes() + Peer.Incoming.size() + Peer.HeldBytes;
+  for (const OpenExchange &Exchange : Peer.Open)
+    Result += Exchange.HeldBytes;
+  return Result;
 }
 
 } // namespace
@@ -119,6 +65,8 @@
 
   explicit Impl(const EdgeServerBuilder &Builder)
       : Task(Builder.Task), Clock(Builder.Task), Limits(Builder.Limits),
+        Capacity(Builder.Capacity),
+        Budget({.Bytes = Builder.Capacity.BufferedBytes}),
         OnRequest(Builder.OnRequest),
         OnCallerDisconnected(Builder.OnCallerDisconnected) {}
 
@@ -126,15 +74,21 @@
 
   void accept(const Net::Listener::Adopter &Adopt);
   void handleBytes(ConnectionId Id, std::string_view Bytes);
+  void parseAll(ConnectionId Id, Connection &Peer);
   // Returns true if a request was complete.
   bool parse(ConnectionId Id, Connection &Peer);
   void continueIfExpected(Connection &Peer);
+  void discard(ConnectionId Id, Connection &Peer);
   void dispatch(ConnectionId Id, Connection &Peer);
   void pass(ConnectionId Id, Connection &Peer, OpenExchange Exchange,
             Request Received);
   void sendReady(ConnectionId Id, Connection &Peer);
   void parseLater(ConnectionId Id);
-  void reject(Connection &Peer, int Status);
+  void reject(ConnectionId Id, Connection &Peer, int Status);
+  bool mayHold(ConnectionId Id, const Connection &Peer);
+  void giveWay(const std::vector<ConnectionId> &Ids);
+  void makeRoom();
+  void recordHeld(ConnectionId Id, const Connection &Peer);
   void close(Connection &Peer);
   void handleClosed(ConnectionId Id);
   void sweep();
@@ -147,6 +101,8 @@
   Kernel::Task &Task;
   Kernel::Timers Clock;
   EdgeLimits Limits;
+  EdgeCapacity Capacity;
+  BufferBudget Budget;
   std::function<void(ExchangeId, Request)> OnRequest;
   std::function<void(ExchangeId)> OnCallerDisconnected;
   std::unique_ptr<Net::Listener> Listener;
@@ -159,6 +115,8 @@
 };
 
 void EdgeServer::Impl::accept(const Net::Listener::Adopter &Adopt) {
+  if (Connections.size() >= Capacity.Connections)
+    makeRoom();
   const ConnectionId Id = NextConnection++;
   Net::ByteStream::Events Handlers;
   Handlers.OnBytes = [this, Id](std::string_view Bytes) {
@@ -167,34 +125,112 @@
   Handlers.OnClosed = [this, Id](Net::StreamEnd, const std::string &) {
     handleClosed(Id);
   };
+  auto Stream = Adopt(std::move(Handlers));
+  if (Connections.size() >= Capacity.Connections)
+    return; // Closes the new connection.
   Connection &Opened = Connections[Id];
-  Opened.Stream = Adopt(std::move(Handlers));
+  Opened.Stream = std::move(Stream);
   enterPhase(Opened, Phase::Idle);
 }
 
+// Closes the connection that is least likely to be missed: one that waits for
+// its caller to close it, then the one that has been idle for longest, then the
+// one that has been sending its request for longest. None if all of them have
+// a request open.
+void EdgeServer::Impl::makeRoom() {
+  const auto Rank = [](const Connection &Candidate) {
+    return Candidate.State == Phase::Closing ? 0
+           : Candidate.State == Phase::Idle  ? 1
+                                             : 2;
+  };
+  auto Selected = Connections.end();
+  for (auto Next = Connections.begin(); Next != Connections.end(); ++Next)
+    if (Next->second.State != Phase::Responding &&
+        (Selected == Connections.end() ||
+         std::pair(Rank(Next->second), Next->second.PhaseStart) <
+             std::pair(Rank(Selected->second), Selected->second.PhaseStart)))
+      Selected = Next;
+  if (Selected == Connections.end())
+    return;
+  Budget.release(Selected->first);
+  Connections.erase(Selected);
+}
+
+// Whether the memory that the connection takes now fits. Makes others give way
+// for it.
+bool EdgeServer::Impl::mayHold(ConnectionId Id, const Connection &Peer) {
+  const auto Decision = Budget.request(Id, heldBytes(Peer), now());
+  giveWay(Decision.GiveWay);
+  return Decision.Granted;
+}
+
+void EdgeServer::Impl::giveWay(const std::vector<ConnectionId> &Ids) {
+  for (const ConnectionId Id : Ids) {
+    Connection &Peer = Connections.at(Id);
+    if (Peer.State == Phase::Reading)
+      reject(Id, Peer, ServiceUnavailable);
+    else
+      Peer.Stream->closeNow("too many bytes held for callers");
+  }
+}
+
+// Keeps account of what is left after a response, which the caller may not have
+// taken yet.
+void EdgeServer::Impl::recordHeld(ConnectionId Id, const Connection &Peer) {
+  const std::size_t Bytes = heldBytes(Peer);
+  if (Bytes == 0)
+    Budget.release(Id);
+  else
+    giveWay(Budget.record(Id, Bytes, now()));
+}
+
 void EdgeServer::Impl::handleBytes(ConnectionId Id, std::string_view Bytes) {
   const auto Found = Connections.find(Id);
   if (Found == Connections.end() || Found->second.State == Phase::Closing)
     return;
   Connection &Peer = Found->second;
+  if (Peer.Discarding)
+    return;
+  Peer.LastReceived = now();
   Peer.Incoming.append(Bytes);
+  Budget.progressed(Id, Bytes.size(), Peer.LastReceived);
+  parseAll(Id, Peer);
+  if (Peer.State == Phase::Closing || mayParse(Peer))
+    return;
+  if (!mayHold(Id, Peer))
+    discard(Id, Peer);
+  else if (Peer.Incoming.size() > MaxPipelinedBytes)
+    Peer.Stream->setReading(false);
+}
+
+// Closes the connection after the responses to the open requests. What came
+// behind them has not been read.
+void EdgeServer::Impl::discard(ConnectionId Id, Connection &Peer) {
+  if (Peer.Open.empty()) {
+    reject(Id, Peer, ServiceUnavailable);
+    return;
+  }
+  Peer.Open.back().KeepAlive = false;
+  Peer.Discarding = true;
+  Peer.RequestParser.reset();
+  Peer.HeldBytes = 0;
+  Peer.Held.reset();
+  Peer.PendingRejection.reset();
+  std::string().swap(Peer.Incoming);
+}
+
+void EdgeServer::Impl::parseAll(ConnectionId Id, Connection &Peer) {
   while (mayParse(Peer) && !Peer.Incoming.empty())
     if (!parse(Id, Peer))
       break;
-  if (!mayParse(Peer) && Peer.Incoming.size() > MaxPipelinedBytes)
-    Peer.Stream->setReading(false);
 }
 
 bool EdgeServer::Impl::parse(ConnectionId Id, Connection &Peer) {
   if (!Peer.RequestParser) {
-    Peer.RequestParser = std::make_unique<Parser>();
-    Peer.RequestParser->eager(true);
-    Peer.RequestParser->header_limit(
-        static_cast<std::uint32_t>(Limits.HeaderBytes));
-    Peer.RequestParser->body_limit(Limits.BodyBytes);
-    Peer.RequestParser->get().body().Limit = Limits.BodyBytes;
+    Peer.RequestParser = makeEdgeParser(Limits);
     Peer.ContinueSent = false;
     Peer.RequestBytes = 0;
+    Peer.FieldBytes = 0;
     if (Peer.Open.empty())
       enterPhase(Peer, Phase::Reading);
   }
@@ -212,7 +248,16 @@
   Peer.Incoming.erase(0, Offset);
   Peer.RequestBytes += static_cast<std::int64_t>(Offset);
   if (Error && Error != beast::http::error::need_more) {
-    reject(Peer, statusForError(Error));
+    reject(Id, Peer, statusForError(Error));
+    return false;
+  }
+  if (Peer.RequestParser->is_header_done()) {
+    if (Peer.FieldBytes == 0)
+      Peer.FieldBytes = memoryOfFields(*Peer.RequestParser);
+    Peer.HeldBytes = Peer.FieldBytes + memoryOfBody(*Peer.RequestParser);
+  }
+  if (!mayHold(Id, Peer)) {
+    reject(Id, Peer, ServiceUnavailable);
     return false;
   }
   if (Peer.RequestParser->is_done()) {
@@ -222,7 +267,7 @@
   // The parser limits the header section, but neither chunk headers nor
   // trailers.
   if (Peer.Incoming.size() > Limits.HeaderBytes) {
-    reject(Peer, HeaderFieldsTooLarge);
+    reject(Id, Peer, HeaderFieldsTooLarge);
     return false;
   }
   continueIfExpected(Peer);
@@ -243,31 +288,29 @@
 }
 
 void EdgeServer::Impl::dispatch(ConnectionId Id, Connection &Peer) {
-  auto Message = Peer.RequestParser->release();
-  Peer.RequestParser.reset();
-  Request Received;
-  Received.Method = std::string(toView(Message.method_string()));
-  Received.Target = std::string(toView(Message.target()));
-  Received.Path = Received.Target.substr(0, Received.Target.find('?'));
-  Received.Fields = toHeaders(Message);
-  Received.Body = std::move(Message.body().Text);
-  Received.Caller = Peer.Stream->peerAddress();
+  const auto Method = Peer.RequestParser->get().method();
   OpenExchange Exchange;
-  Exchange.KeepAlive = Message.keep_alive();
-  Exchange.OmitBody = Message.method() == beast::http::verb::head;
+  Exchange.KeepAlive = Peer.RequestParser->keep_alive();
+  Exchange.OmitBody = Method == beast::http::verb::head;
   // Only safe methods may run in another order than they were sent in.
-  Exchange.MayOverlap =
-      Exchange.OmitBody || Message.method() == beast::http::verb::get;
-  if (Exchange.MayOverlap || Peer.Open.empty())
+  Exchange.MayOverlap = Exchange.OmitBody || Method == beast::http::verb::get;
+  Exchange.HeldBytes = std::exchange(Peer.HeldBytes, 0);
+  Request Received = takeRequest(*Peer.RequestParser);
+  Peer.RequestParser.reset();
+  Received.Caller = Peer.Stream->peerAddress();
+  if (Exchange.MayOverlap || Peer.Open.empty()) {
     pass(Id, Peer, std::move(Exchange), std::move(Received));
-  else
+  } else {
+    Peer.HeldBytes = Exchange.HeldBytes;
     Peer.Held.emplace(std::move(Exchange), std::move(Received));
+  }
 }
 
 void EdgeServer::Impl::pass(ConnectionId Id, Connection &Peer,
                             OpenExchange Exchange, Request Received) {
   Exchange.Id = NextExchange++;
   Exchanges.emplace(Exchange.Id, Id);
+  Budget.setMayGiveWay(Id, false);
   if (Peer.Open.empty())
     enterPhase(Peer, Phase::Responding);
   const ExchangeId Opened = Exchange.Id;
@@ -283,23 +326,34 @@
     // Requests that were received before the stop are answered first.
     const bool KeepAlive =
         Answered.KeepAlive && (!Draining || !Peer.Open.empty() || Peer.Held ||
-                               !Peer.Incoming.empty());
-    Peer.Stream->write(encode(*Answered.Ready, KeepAlive, !Answered.OmitBody));
+                               Peer.PendingRejection || !Peer.Incoming.empty());
+    Peer.Stream->writeOwned(
+        encodeResponse(*Answered.Ready, KeepAlive, !Answered.OmitBody));
     if (!KeepAlive) {
+      Peer.HeldBytes = 0;
+      Budget.release(Id);
+      recordHeld(Id, Peer);
       close(Peer);
       return;
     }
   }
-  if (Peer.Open.empty() && Peer.PendingRejection) {
-    reject(Peer, *Peer.PendingRejection);
+  if (!Peer.Open.empty()) {
+    recordHeld(Id, Peer);
     return;
   }
-  if (Peer.Open.empty()) {
-    enterPhase(Peer, Peer.RequestParser ? Phase::Reading : Phase::Idle);
-    continueIfExpected(Peer);
+  Budget.release(Id);
+  recordHeld(Id, Peer);
+  if (Peer.PendingRejection) {
+    reject(Id, Peer, *Peer.PendingRejection);
+    return;
   }
-  if (mayParse(Peer))
-    Peer.Stream->setReading(true);
+  enterPhase(Peer, Peer.Held            ? Phase::Responding
+                   : Peer.RequestParser ? Phase::Reading
+                                        : Phase::Idle);
+  continueIfExpected(Peer);
+  if (Peer.Incoming.empty())
+    std::string().swap(Peer.Incoming);
+  Peer.Stream->setReading(true);
   if (Peer.Held || !Peer.Incoming.empty())
     parseLater(Id);
 }
@@ -313,25 +367,35 @@
       return;
     Connection &Peer = Found->second;
     if (Peer.Held && Peer.Open.empty()) {
-      auto Next = std::move(*Peer.Held);
+      auto [Exchange, Received] = std::move(*Peer.Held);
       Peer.Held.reset();
-      pass(Id, Peer, std::move(Next.first), std::move(Next.second));
+      Peer.HeldBytes = 0;
+      pass(Id, Peer, std::move(Exchange), std::move(Received));
     }
-    while (mayParse(Peer) && !Peer.Incoming.empty())
-      if (!parse(Id, Peer))
-        break;
+    parseAll(Id, Peer);
   });
 }
 
-void EdgeServer::Impl::reject(Connection &Peer, int Status) {
+void EdgeServer::Impl::reject(ConnectionId Id, Connection &Peer, int Status) {
   if (!Peer.Open.empty()) {
+    // Earlier requests are answered first.
+    Peer.RequestParser.reset();
+    Peer.HeldBytes = 0;
+    std::string().swap(Peer.Incoming);
+    Peer.Discarding = true;
     Peer.PendingRejection = Status;
     return;
   }
   Response Reply;
   Reply.Status = Status;
-  Peer.Stream->write(encode(Reply, false, false));
+  if (Status == ServiceUnavailable)
+    Reply.Fields["retry-after"] = RetryAfterSeconds;
+  Peer.Stream->write(encodeResponse(Reply, false, false));
   close(Peer);
+  Peer.RequestParser.reset();
+  Peer.Held.reset();
+  std::string().swap(Peer.Incoming);
+  Budget.release(Id);
 }
 
 void EdgeServer::Impl::close(Connection &Peer) {
@@ -340,6 +404,7 @@
 }
 
 void EdgeServer::Impl::handleClosed(ConnectionId Id) {
+  Budget.release(Id);
   const auto Entry = Connections.extract(Id);
   if (Entry.empty())
     return;
@@ -360,20 +425,25 @@
 // all connections.
 void EdgeServer::Impl::sweep() {
   Clock.after(SweepInterval, [this] { sweep(); });
-  constexpr int RequestTimeout = 408;
   const SteadyTime Now = now();
   std::vector<ConnectionId> Lingering;
   for (auto &[Id, Open] : Connections) {
     const Common::Duration Age = Now - Open.PhaseStart;
     if (Open.State == Phase::Idle && Age > Limits.IdleTimeout)
       close(Open);
-    else if (Open.State == Phase::Reading && Age > readTimeout(Open))
-      reject(Open, RequestTimeout);
+    else if (Open.State == Phase::Reading &&
+             (Age > readTimeout(Open) ||
+              Now - Open.LastReceived > Limits.IdleTimeout))
+      reject(Id, Open, RequestTimeout);
     else if (Open.State == Phase::Closing && Age > LingerTimeout)
       Lingering.push_back(Id);
+    if (Open.State == Phase::Idle || Open.State == Phase::Closing)
+      recordHeld(Id, Open);
   }
-  for (const ConnectionId Id : Lingering)
+  for (const ConnectionId Id : Lingering) {
+    Budget.release(Id);
     Connections.erase(Id);
+  }
 }
 
 EdgeServer::EdgeServer(std::unique_ptr<Impl> State) : Self(std::move(State)) {}
@@ -383,6 +453,10 @@
 
 std::size_t EdgeServer::openExchanges() const { return Self->Exchanges.size(); }
 
+std::size_t EdgeServer::bufferedBytes() const {
+  return Self->Budget.heldBytes();
+}
+
 void EdgeServer::respond(ExchangeId Id, const Response &Reply) {
   const auto Entry = Self->Exchanges.extract(Id);
   if (Entry.empty())
@@ -390,8 +464,10 @@
   const Impl::ConnectionId ConnectionKey = Entry.mapped();
   Connection &Peer = Self->Connections.at(ConnectionKey);
   for (OpenExchange &Exchange : Peer.Open)
-    if (Exchange.Id == Id)
+    if (Exchange.Id == Id) {
       Exchange.Ready = Reply;
+      Exchange.HeldBytes = Reply.Body.size();
+    }
   Self->sendReady(ConnectionKey, Peer);
 }
 
@@ -421,6 +497,11 @@
   return *this;
 }
 
+EdgeServerBuilder &EdgeServerBuilder::capacity(const EdgeCapacity &Value) {
+  Capacity = Value;
+  return *this;
+}
+
 EdgeServerBuilder &
 EdgeServerBuilder::onRequest(std::function<void(ExchangeId, Request)> Value) {
   OnRequest = std::move(Value);
--- a/Source/UnitTests/Common/SettingsTests.cpp
+++ b/Source/UnitTests/Common/SettingsTests.cpp
@@ -37,6 +37,22 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(FurtherSettingsLeaveOutEmptyValues) {
+  auto Builder = builderFor("");
+  Builder.input({"VARIABLE", "a.port=80,a.wait=,b.on=yes"});
+  const Common::Settings Read = Builder.build();
+  BOOST_TEST(Read.integer("a", "port") == 80);
+  BOOST_TEST(Read.time("a", "wait").count() == 5'000'000);
+  BOOST_TEST(Read.flag("b", "on"));
+}
+
+BOOST_AUTO_TEST_CASE(FaultsOfFurtherSettingsNameTheirOrigin) {
+  auto Builder = builderFor("[a]\nport = 80\n");
+  Builder.input({"VARIABLE", "a.wait=soon"});
+  BOOST_REQUIRE_EQUAL(Builder.faults().size(), 1);
+  BOOST_TEST(Builder.faults().front().File == "VARIABLE");
+}
+
 BOOST_AUTO_TEST_CASE(ReadsValuesAndDefaults) {
   const auto Read = builderFor("[a]\nport = 80 ; inline\n").build();
   BOOST_TEST(Read.integer("a", "port") == 80);
