Release the bytes of a rejected request

Measured: BodyWithoutProgressIsRefusedAfterTheIdleTimeout failed with 619,412 bytes held, and passes.

--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -393,6 +393,7 @@
   Peer.Stream->write(encodeResponse(Reply, false, false));
   close(Peer);
   Peer.RequestParser.reset();
+  Peer.HeldBytes = 0;
   Peer.Held.reset();
   std::string().swap(Peer.Incoming);
   Budget.release(Id);
