Fill frames in place

Cause: generated types have no move assignment, so moving a part into its frame copied the body; the linter refused it. Measured: WireTests green.

--- a/Source/Core/Wire/Codec.cpp
+++ b/Source/Core/Wire/Codec.cpp
@@ -26,7 +26,10 @@
 }
 
 Generated::Frame toWire(const Routing::CallRequest &From) {
-  Generated::CallRequest Part;
+  // Filled in place, since the setters copy, and bodies may be large.
+  Generated::Frame Result;
+  Result.__isset.Request = true;
+  Generated::CallRequest &Part = Result.Request;
   Part.CallId = From.Attempt;
   Part.Service = From.Service;
   Part.Kind = From.Kind;
@@ -49,15 +52,14 @@
   Part.Server = From.Server;
   Part.Tenant = From.Tenant;
   Part.ExpectedCostMicros = From.ExpectedCost.count();
-  Generated::Frame Result;
-  // Moved, since the setters copy, and bodies may be large.
-  Result.Request = std::move(Part);
-  Result.__isset.Request = true;
   return Result;
 }
 
 Generated::Frame toWire(const Routing::CallReply &From) {
-  Generated::CallReply Part;
+  // Filled in place, since the setters copy, and bodies may be large.
+  Generated::Frame Result;
+  Result.__isset.Reply = true;
+  Generated::CallReply &Part = Result.Reply;
   Part.CallId = From.Attempt;
   Part.Result = Common::resultCodeNumber(From.Result);
   Part.HttpStatus = From.HttpStatus;
@@ -73,9 +75,6 @@
   Part.FailurePercent = From.Load.FailurePercent;
   Part.BacklogMicros = From.Load.Backlog.count();
   Part.SlownessPercent = From.Load.SlownessPercent;
-  Generated::Frame Result;
-  Result.Reply = std::move(Part);
-  Result.__isset.Reply = true;
   return Result;
 }
 
