Pass on pipelined requests beyond the limit when earlier ones end

Cause: with 16 requests of a connection open, the next was parsed only when all of them had been answered. Measured: FurtherPipelinedRequestsRunWhenEarlierOnesEnd fails without the change and passes; HttpTests green.

--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -339,6 +339,10 @@
   }
   if (!Peer.Open.empty()) {
     recordHeld(Id, Peer);
+    if (mayParse(Peer) && !Peer.Incoming.empty()) {
+      Peer.Stream->setReading(true);
+      parseLater(Id);
+    }
     return;
   }
   Budget.release(Id);
--- a/Source/UnitTests/Http/EdgeServerTests.cpp
+++ b/Source/UnitTests/Http/EdgeServerTests.cpp
@@ -127,6 +127,23 @@
   BOOST_TEST(Read.find("second") < Read.find("GET /3 "));
 }
 
+BOOST_FIXTURE_TEST_CASE(FurtherPipelinedRequestsRunWhenEarlierOnesEnd,
+                        Fixture) {
+  constexpr std::size_t MaxOpen = 16;
+  std::string Sent;
+  for (std::size_t Index = 0; Index < MaxOpen + 1; ++Index)
+    Sent += "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n";
+  RawSocket Caller(Port);
+  Caller.send(Sent);
+  BOOST_REQUIRE(waitFor([&] { return Requests.size() == MaxOpen; }));
+  std::this_thread::sleep_for(Millis(30));
+  BOOST_TEST(requestCount() == MaxOpen);
+  Worker.runAndWait([this] {
+    Server->respond(OpenExchanges[0], {200, {}, "first"});
+  });
+  BOOST_TEST(waitFor([&] { return Requests.size() == MaxOpen + 1; }));
+}
+
 // The effects of a request that is not safe must not overtake earlier requests,
 // and later ones must not overtake it.
 BOOST_FIXTURE_TEST_CASE(UnsafeRequestRunsAlone, Fixture) {
