--- a/Source/UnitTests/Tenants/VirtualMesh.h
+++ b/Source/UnitTests/Tenants/VirtualMesh.h
@@ -40,9 +40,10 @@
   };
 
   VirtualMesh(const std::vector<std::string> &DataCentres,
-              std::size_t NodesPerDataCentre, std::vector<TenantLoad> Tenants)
+              std::size_t NodesPerDataCentre,
+              const std::vector<TenantLoad> &Offered)
       : DataCentres(DataCentres.begin(), DataCentres.end()) {
-    for (TenantLoad &Load : Tenants) {
+    for (const TenantLoad &Load : Offered) {
       Names.push_back(Load.Name);
       Loads[Load.Name] = Load;
       Records[Load.Name].Level = Load.Burst;
