Look up no route for the tenant of a set without tenants

Cause: the ingress looked up the route of each call before it found that the set has no tenants; the dispatcher looks it up again. Behaviour is unchanged.

--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -215,10 +215,12 @@
   bool admitTenant(Routing::CallStart &Start) {
     const std::optional<std::string> Key =
         std::exchange(Start.TenantKey, std::nullopt);
+    if (!Set || Set->tenants().empty())
+      return true;
     const Config::Route *Route =
-        Set ? Set->findRoute(Start.Host, Start.Method, Start.Path) : nullptr;
+        Set->findRoute(Start.Host, Start.Method, Start.Path);
     // The dispatcher refuses a call without a set or a route.
-    if (!Route || Set->tenants().empty())
+    if (!Route)
       return true;
     const Tenants::Admission Decision = Gate.admit(*Set, *Route, Key, now());
     OpenCall &Opened = OpenCalls.at(Start.Call);
