--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -41,7 +41,7 @@
   void start() {
     ToPeers = FindPeers();
     Http::ResponseLimits Answers;
-    Answers.BodyBytes = Wire::MaxFrameBytes - FrameOverhead;
+    Answers.BodyBytes = Wire::MaxFrameBodyBytes;
     Transport = std::make_unique<Http::KeepAliveClient>(Task, Answers);
     watchPauses();
   }
@@ -76,9 +76,6 @@
   // How long after the deadline the server may still report by itself that the
   // deadline has passed.
   static constexpr Common::Millis ServerSlack{30};
-  // Bytes of a frame reserved for the header fields of a reply and the load
-  // report sent with it.
-  static constexpr std::size_t FrameOverhead = 1 << 20;
   // Interval of reports about a watched server.
   static constexpr Common::Millis WatchInterval{250};
   // Number of calls over which the share of failed calls is smoothed.
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -67,8 +67,6 @@
 private:
   static constexpr Common::Millis TickInterval{100};
   static constexpr int MaxMissedIdleEchoes = 3;
-  // The rest of a frame is for the fields of the request.
-  static constexpr std::size_t MaxBodyBytes = Wire::MaxFrameBytes - (1 << 20);
 
   struct OutboundConnection {
     std::unique_ptr<Wire::FrameSocket> Socket;
@@ -109,7 +107,7 @@
     }
     // A frame over the limit would make the receiver end the connection, and
     // with it the requests of others.
-    if (Command.Request.Body.size() > MaxBodyBytes) {
+    if (Command.Request.Body.size() > Wire::MaxFrameBodyBytes) {
       refuse(Command.Request.Attempt, Common::ResultCode::BodyTooLarge);
       return;
     }
--- a/Source/Core/Wire/FrameSocket.h
+++ b/Source/Core/Wire/FrameSocket.h
@@ -12,6 +12,9 @@
 namespace Wire {
 
 constexpr std::size_t MaxFrameBytes = 8 << 20;
+// The largest body that a frame carries; the rest is for the header fields and
+// what is sent with them.
+constexpr std::size_t MaxFrameBodyBytes = MaxFrameBytes - (1 << 20);
 
 // A TCP connection between two nodes that carries frames in both directions.
 // Each frame is a four-byte big-endian length followed by the content.
