--- a/Source/Core/Admission/QueuedCall.h
+++ b/Source/Core/Admission/QueuedCall.h
@@ -31,8 +31,6 @@
   Common::Micros TargetLatency = Common::Micros(0);
   // The call is refused at once when its estimated wait is longer than this.
   std::optional<Common::Micros> WaitLimit = {};
-  // The name of the tenant that sent it; empty if there is none.
-  std::string Tenant = {};
   // How long the call is expected to hold a slot; 0 if unknown.
   Common::Micros ExpectedCost = Common::Micros(0);
 };
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -140,7 +140,6 @@
          .TargetTime = Opened.Arrived + Opened.Request.TargetTimeLeft,
          .TargetLatency = Opened.Request.TargetLatency,
          .WaitLimit = Opened.Request.WaitLimit,
-         .Tenant = Opened.Request.Tenant,
          .ExpectedCost = Opened.Request.ExpectedCost},
         now()));
   }
