--- a/Source/Core/Routing/ExpectedTimeChoice.cpp
+++ b/Source/Core/Routing/ExpectedTimeChoice.cpp
@@ -166,14 +166,14 @@
               SlotTime * (1 + CrowdingWeight * Crowding * Crowding));
 }
 
+template <class Filter>
 std::optional<ExpectedTimeChoice::Candidate>
-ExpectedTimeChoice::best(const ChoiceInput &Input, bool IsLocal,
-                         const TypicalLoad &Typical) {
+ExpectedTimeChoice::bestOf(const ChoiceInput &Input, const TypicalLoad &Typical,
+                           Filter IsCandidate) {
   std::optional<Candidate> Best;
   for (std::size_t Index = 0; Index < Input.Servers.size(); ++Index) {
     const ServerEntry &Server = Input.Servers[Index];
-    if ((Server.DataCentre == Input.LocalDataCentre) != IsLocal ||
-        !Input.mayChoose(Server))
+    if (!IsCandidate(Server) || !Input.mayChoose(Server))
       continue;
     const Seconds Cost = expectedTime(Input, Server, Typical);
     if (!Best || Cost < Best->Cost)
@@ -182,21 +182,22 @@
   return Best;
 }
 
+std::optional<ExpectedTimeChoice::Candidate>
+ExpectedTimeChoice::best(const ChoiceInput &Input, bool IsLocal,
+                         const TypicalLoad &Typical) {
+  return bestOf(Input, Typical, [&](const ServerEntry &Server) {
+    return (Server.DataCentre == Input.LocalDataCentre) == IsLocal;
+  });
+}
+
 std::optional<ExpectedTimeChoice::Candidate>
 ExpectedTimeChoice::bestKnown(const ChoiceInput &Input,
                               const TypicalLoad &Typical) {
-  std::optional<Candidate> Best;
-  for (std::size_t Index = 0; Index < Input.Servers.size(); ++Index) {
-    const ServerEntry &Server = Input.Servers[Index];
+  return bestOf(Input, Typical, [&](const ServerEntry &Server) {
     const ServerRecord *Record = Input.Records.find(Server.Server);
-    if (Server.DataCentre == Input.LocalDataCentre ||
-        !Input.mayChoose(Server) || !Record || !isKnown(*Record, Input.Now))
-      continue;
-    const Seconds Cost = expectedTime(Input, Server, Typical);
-    if (!Best || Cost < Best->Cost)
-      Best = Candidate{Index, Cost};
-  }
-  return Best;
+    return Server.DataCentre != Input.LocalDataCentre && Record &&
+           isKnown(*Record, Input.Now);
+  });
 }
 
 bool ExpectedTimeChoice::takeProbe(const ChoiceInput &Input) {
--- a/Source/Core/Routing/ExpectedTimeChoice.h
+++ b/Source/Core/Routing/ExpectedTimeChoice.h
@@ -42,6 +42,11 @@
   };
 
   static TypicalLoad typicalLoad(const ChoiceInput &Input);
+  // The best of the servers that the filter accepts.
+  template <class Filter>
+  std::optional<Candidate> bestOf(const ChoiceInput &Input,
+                                  const TypicalLoad &Typical,
+                                  Filter IsCandidate);
   // The best server of the local data centre, or of all others.
   std::optional<Candidate> best(const ChoiceInput &Input, bool IsLocal,
                                 const TypicalLoad &Typical);
