--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,9 @@
-"""The instance that takes uploads is replaced by one on another machine.
-Checks that uploads within maxBodyBytes are still accepted."""
+"""An instance crashes, and its address goes to an instance of another service.
+Checks that the requests which begin on that machine bear the new service."""
 
 import asyncio
 import os
+import random
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -11,52 +12,65 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "shop.example"
-DEADLINE_MS = 2500
-# An eighth of maxBodyBytes (67,108,864).
-BODY = b"y" * 8_388_608
-UPLOADS = 24
+ROUNDS = 4
+REQUESTS, INTERVAL_S = 30, 0.05
+
+
+def replace_settings(deployment, machine, service):
+    """The platform fills in the template for the machine's new service. It
+    sends no signal."""
+    path = os.path.join(deployment.folder, machine.name + ".ini")
+    with open(path, encoding="utf-8") as file:
+        text = file.read()
+    with open(path + ".new", "w", encoding="utf-8") as file:
+        file.write(text.replace("service = " + machine.service, "service = " + service))
+    os.replace(path + ".new", path)
 
 
 async def play(record):
-    # The second machine's instance is the one that joins.
-    names = [("sidecar-a-1", "zone-a", "tradecredit"), ("sidecar-a-2", "zone-a", "tradecredit"),
-             ("sidecar-a-3", "zone-a", "pricebook")]
+    names = [("sidecar-a-1", "zone-a", "pricebook"), ("sidecar-a-2", "zone-a", "payouts"),
+             ("sidecar-a-3", "zone-a", "slabdesk")]
     deployment = Mesh(record, names)
     try:
         await deployment.start(configuration(
-            ["pricebook", "tradecredit"],
-            [route(HOST, "/credit/", "tradecredit", kind="unsafe", timeout_ms=DEADLINE_MS)]),
-            instances=False)
-        first, second, third = deployment.machines
-        for machine in (first, third):
-            machine.instance = Instance(machine, machine.service, record)
-            await machine.instance.start()
-        await asyncio.sleep(BOUNDS["stableWindowMs"] / 1000 + 1)
-        if TROUBLE:
-            second.instance = Instance(second, second.service, record)
-            await second.instance.start()
-            await asyncio.sleep(1)
-            first.instance.state = "draining"
-            status = await first.instance.beat()
-            record("%s on %s drains; its heartbeat is answered with %s"
-                   % (first.instance.id, first.name, status))
-            await asyncio.sleep(BOUNDS["drainMs"] / 1000)
-            await first.instance.call("instances.deregister", {"born": first.instance.born})
-            await first.instance.stop()
-            record("%s has left" % first.instance.id)
-            await asyncio.sleep(BOUNDS["stableWindowMs"] / 1000)
-        answers = []
-        for _ in range(UPLOADS):
-            _, request_id, answer = await call(first, "PUT", "/credit/x", HOST, DEADLINE_MS,
-                                               record, BODY)
-            answers.append(answer.status if answer else None)
-            await asyncio.sleep(0.1)
-        denied = [status for status in answers if status and 300 <= status < 500
-                  and status not in (408, 421, 429)]
-        limit = 5 + UPLOADS / 500
-        record("%d uploads of %d bytes, %d answered with 200, %d with a 3xx or 4xx: %s"
-               % (UPLOADS, len(BODY), answers.count(200), len(denied), sorted(set(denied))))
-        return 1 if len(denied) > limit else (0 if answers.count(200) > UPLOADS / 2 else 2)
+            ["pricebook", "payouts", "slabdesk"], [route(HOST, "/grade/", "slabdesk")]))
+        machine, server = deployment.machines[0], deployment.machines[2]
+        wrong, checked = [], 0
+        for number in range(ROUNDS):
+            await asyncio.sleep(BOUNDS["stableWindowMs"] / 1000 + random.uniform(0.5, 1.5))
+            if TROUBLE:
+                service = "payouts" if machine.service == "pricebook" else "pricebook"
+                await machine.instance.stop()
+                record("%s (%s) on %s crashes" % (machine.instance.id, machine.service,
+                                                  machine.name))
+                await asyncio.sleep(BOUNDS["reuseAfterS"] + 0.5)
+                replace_settings(deployment, machine, service)
+                machine.service = service
+                machine.instance = Instance(machine, service, record)
+                await machine.instance.start()
+                status = await machine.instance.beat()
+                record("%s (%s) has the address now; its heartbeat is answered with %s"
+                       % (machine.instance.id, service, status))
+                if status != 200:
+                    return 2
+            began = now()
+            expected, sent = machine.service, {}
+            for _ in range(REQUESTS):
+                time, request_id, _ = await call(machine, "GET", "/grade/x", HOST, 1000, record)
+                sent[request_id] = time
+                await asyncio.sleep(INTERVAL_S)
+            for run in server.instance.runs:
+                if run[1] not in sent:
+                    continue
+                checked += 1
+                caller = run[4].get("x-zinniawheel-caller-service")
+                if caller != expected:
+                    wrong.append(run[1])
+                    record("%s sent %.3f s after the heartbeat from the machine of %s runs with "
+                           "X-Zinniawheel-Caller-Service: %s"
+                           % (run[1], sent[run[1]] - began, expected, caller))
+        record("%d requests checked, %d run with another caller service" % (checked, len(wrong)))
+        return 1 if wrong else (0 if checked > ROUNDS * REQUESTS / 2 else 2)
     finally:
         deployment.close()
 
