Log what a stop, a close and a lost connection leave unfinished

The logs could not tell apart a call that was open when its node ended, a response that was not sent or not taken, and a reply that was lost between nodes. Now each leaves a line: call-cut, attempt-cut, connection-cut, response-not-taken, reply-dropped and replies-cut, the steps of a stop with their times, the exchange number in the line of a call, the server of an attempt whose connection was lost, and how many received bytes were unread when a write failed. No decision changes.

--- a/Source/Core/Http/EdgeConnection.h
+++ b/Source/Core/Http/EdgeConnection.h
@@ -42,6 +42,8 @@
   // Set while requests are open and what comes behind them is discarded.
   bool Discarding = false;
   Common::SteadyTime LastReceived;
+  // The request that was answered last; 0 if there was none.
+  ExchangeId LastAnswered = 0;
   // In the order of the requests, which is that of the responses.
   std::deque<OpenExchange> Open;
   // A complete request that has to wait until the open ones are answered.
--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include <spdlog/spdlog.h>
+
 #include "Http/BeastConversions.h"
 #include "Http/BufferBudget.h"
 #include "Http/EdgeConnection.h"
@@ -70,6 +72,11 @@
         OnRequest(Builder.OnRequest),
         OnCallerDisconnected(Builder.OnCallerDisconnected) {}
 
+  ~Impl() {
+    for (const auto &[Id, Open] : Connections)
+      reportCut(Open, "the server stops");
+  }
+
   static SteadyTime now() { return std::chrono::steady_clock::now(); }
 
   void accept(const Net::Listener::Adopter &Adopt);
@@ -90,7 +97,8 @@
   void makeRoom();
   void recordHeld(ConnectionId Id, const Connection &Peer);
   void close(Connection &Peer);
-  void handleClosed(ConnectionId Id);
+  void handleClosed(ConnectionId Id, const std::string &Reason);
+  void reportCut(const Connection &Peer, std::string_view Reason) const;
   void sweep();
   Common::Duration readTimeout(const Connection &Peer) const;
   void enterPhase(Connection &Peer, Phase Next) {
@@ -122,8 +130,8 @@
   Handlers.OnBytes = [this, Id](std::string_view Bytes) {
     handleBytes(Id, Bytes);
   };
-  Handlers.OnClosed = [this, Id](Net::StreamEnd, const std::string &) {
-    handleClosed(Id);
+  Handlers.OnClosed = [this, Id](Net::StreamEnd, const std::string &Reason) {
+    handleClosed(Id, Reason);
   };
   auto Stream = Adopt(std::move(Handlers));
   if (Connections.size() >= Capacity.Connections)
@@ -152,6 +160,7 @@
       Selected = Next;
   if (Selected == Connections.end())
     return;
+  reportCut(Selected->second, "too many connections");
   Budget.release(Selected->first);
   Connections.erase(Selected);
 }
@@ -323,6 +332,7 @@
   while (!Peer.Open.empty() && Peer.Open.front().Ready) {
     const OpenExchange Answered = std::move(Peer.Open.front());
     Peer.Open.pop_front();
+    Peer.LastAnswered = Answered.Id;
     // Requests that were received before the stop are answered first.
     const bool KeepAlive =
         Answered.KeepAlive && (!Draining || !Peer.Open.empty() || Peer.Held ||
@@ -408,11 +418,33 @@
   Peer.Stream->closeGracefully();
 }
 
-void EdgeServer::Impl::handleClosed(ConnectionId Id) {
+// Logs what a connection that this side ends leaves unanswered or unsent.
+void EdgeServer::Impl::reportCut(const Connection &Peer,
+                                 std::string_view Reason) const {
+  const std::size_t Unsent = Peer.Stream->unsentBytes();
+  if (Unsent == 0 && Peer.Open.empty() && !Peer.Held &&
+      Peer.State != Phase::Reading)
+    return;
+  spdlog::warn("event=connection-cut port={} last-answered={} unsent-bytes={} "
+               "open-requests={} first-open={} incomplete-request={} "
+               "reason=\"{}\"",
+               Port, Peer.LastAnswered, Unsent,
+               Peer.Open.size() + (Peer.Held ? 1 : 0),
+               Peer.Open.empty() ? 0 : Peer.Open.front().Id,
+               Peer.RequestParser != nullptr, Reason);
+}
+
+void EdgeServer::Impl::handleClosed(ConnectionId Id,
+                                    const std::string &Reason) {
   Budget.release(Id);
   const auto Entry = Connections.extract(Id);
   if (Entry.empty())
     return;
+  const std::size_t Unsent = Entry.mapped().Stream->unsentBytes();
+  if (Unsent > 0)
+    spdlog::info("event=response-not-taken port={} last-answered={} "
+                 "unsent-bytes={} reason=\"{}\"",
+                 Port, Entry.mapped().LastAnswered, Unsent, Reason);
   for (const OpenExchange &Exchange : Entry.mapped().Open)
     if (Exchanges.erase(Exchange.Id) > 0)
       OnCallerDisconnected(Exchange.Id);
@@ -446,6 +478,7 @@
       recordHeld(Id, Open);
   }
   for (const ConnectionId Id : Lingering) {
+    reportCut(Connections.at(Id), "the caller did not close in time");
     Budget.release(Id);
     Connections.erase(Id);
   }
--- a/Source/Core/Kernel/Host.cpp
+++ b/Source/Core/Kernel/Host.cpp
@@ -85,8 +85,8 @@
 }
 
 void Host::stop(Common::Duration Timeout) {
-  const Common::SteadyTime Deadline =
-      std::chrono::steady_clock::now() + Timeout;
+  const Common::SteadyTime Began = std::chrono::steady_clock::now();
+  const Common::SteadyTime Deadline = Began + Timeout;
   for (std::size_t Index = StartedCount; Index-- > 0;) {
     ServiceEntry &Entry = *ServiceEntries[Index];
     auto Drained = std::make_shared<std::promise<void>>();
@@ -94,9 +94,16 @@
     Entry.Owner->post([&Entry, Drained, Deadline] {
       Entry.Drain([Drained] { Drained->set_value(); }, Deadline);
     });
-    if (Finished.wait_until(Deadline) != std::future_status::ready)
-      spdlog::warn("service {} did not drain before the shutdown timeout",
-                   Entry.Name);
+    const bool IsDrained =
+        Finished.wait_until(Deadline) == std::future_status::ready;
+    const auto SinceSignal = std::chrono::duration_cast<Common::Millis>(
+        std::chrono::steady_clock::now() - Began);
+    if (!IsDrained)
+      spdlog::warn("event=drain-timed-out service={} after-ms={}", Entry.Name,
+                   SinceSignal.count());
+    else
+      spdlog::info("event=drained service={} after-ms={}", Entry.Name,
+                   SinceSignal.count());
   }
   stopStarted();
 }
--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -9,6 +9,7 @@
 #include <ace/SOCK_Stream.h>
 #include <netinet/tcp.h>
 #include <spdlog/spdlog.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace Net {
@@ -58,6 +59,7 @@
   void scheduleFlush();
   void writeAll();
   void close(StreamEnd End, const std::string &Reason);
+  int unreadBytes() const;
 
   Kernel::Task &Task;
   Events Handlers;
@@ -162,7 +164,9 @@
     if (Count < 0 && wouldBlock())
       break;
     if (Count < 0) {
-      close(StreamEnd::Broken, errnoText());
+      const std::string Reason = errnoText();
+      close(StreamEnd::Broken, Reason + ", " + std::to_string(unreadBytes()) +
+                                   " received bytes are unread");
       return;
     }
     SentBytes += static_cast<std::size_t>(Count);
@@ -182,6 +186,12 @@
   }
 }
 
+// The received bytes that the kernel still holds.
+int ByteStream::Impl::unreadBytes() const {
+  int Count = 0;
+  return ::ioctl(Stream.get_handle(), FIONREAD, &Count) == 0 ? Count : 0;
+}
+
 void ByteStream::Impl::close(StreamEnd End, const std::string &Reason) {
   if (Closed)
     return;
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -54,12 +54,21 @@
 
   // Completes the admitted calls; new ones are refused as not run.
   void drain(std::function<void()> Done) {
+    spdlog::info("event=refusing-attempts open-attempts={}", Calls.size());
     Queue.close();
     OnDrained = std::move(Done);
     finishDrainIfIdle();
   }
 
-  void stop() { Transport.reset(); }
+  void stop() {
+    for (const auto &[Id, Call] : Calls)
+      spdlog::warn("event=attempt-cut id={} server={} running={} age-us={} "
+                   "remaining-us={} reason=\"the node stops\"",
+                   Call.Request.CorrelationId, Server.Server,
+                   Call.Transfer.has_value(), micros(now() - Call.Arrived),
+                   micros(Call.Deadline - now()));
+    Transport.reset();
+  }
 
 private:
   struct OpenCall {
@@ -336,7 +345,8 @@
     Reply.Attempt = Call.Request.Attempt;
     Reply.Load = load();
     Reply.Server = Server.Server;
-    ToPeers.post(SendReply{Call.Origin, std::move(Reply)});
+    ToPeers.post(
+        SendReply{Call.Origin, std::move(Reply), Call.Request.CorrelationId});
     forget(Id);
   }
 
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -92,7 +92,13 @@
       Clock.after(Settings.ServeOnLimit, [this] { refuseNewCalls(); });
   }
 
-  void stop() { Listener.reset(); }
+  void stop() {
+    for (const auto &[Call, Open] : OpenCalls)
+      spdlog::warn("event=call-cut id={} exchange={} age-us={} "
+                   "reason=\"the node stops\"",
+                   Open.CorrelationId, Call, microsSince(Open.Arrived));
+    Listener.reset();
+  }
 
 private:
   struct OpenCall {
@@ -181,12 +187,17 @@
   }
 
   void refuseNewCalls() {
+    spdlog::info("event=refusing-calls open-calls={} open-requests={}",
+                 Calls.openCalls(), Listener->openExchanges());
     Draining = true;
     Listener->stopListening();
     finishDrainIfIdle();
   }
 
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
+  static std::int64_t microsSince(Common::SteadyTime Start) {
+    return std::chrono::duration_cast<Common::Micros>(now() - Start).count();
+  }
 
   void handleRequest(Http::ExchangeId Id, Http::Request Request) {
     Routing::CallStart Start = HttpCodec.toCallStart(
@@ -336,21 +347,22 @@
   static void logCall(const Routing::AnswerCaller &Answer,
                       const OpenCall &Call) {
     spdlog::info(
-        "event=call id={} caller={} tenant={} version={} service={} kind={} "
+        "event=call id={} exchange={} caller={} tenant={} version={} "
+        "service={} kind={} "
         "server={} "
         "data-centre={} "
         "attempts={} result={} {} status={} took-us={} queue-us={} "
         "slot-us={} busy={}/{} waiting={} limit-us={} low-quantile-us={} "
         "unrouted={} expected-cost-us={} backlog-us={} slowness={}%",
-        Call.CorrelationId, Call.Caller, Call.Tenant, Answer.ConfigVersion,
-        Answer.Service, Answer.Kind, Answer.Reply.Server, Answer.DataCentre,
-        Answer.Attempts, Common::resultCodeNumber(Answer.Reply.Result),
+        Call.CorrelationId, Answer.Call, Call.Caller, Call.Tenant,
+        Answer.ConfigVersion, Answer.Service, Answer.Kind, Answer.Reply.Server,
+        Answer.DataCentre, Answer.Attempts,
+        Common::resultCodeNumber(Answer.Reply.Result),
         Common::resultCodeName(Answer.Reply.Result), Answer.Reply.HttpStatus,
-        std::chrono::duration_cast<Common::Micros>(now() - Call.Arrived)
-            .count(),
-        Answer.Reply.QueueTime.count(), Answer.Reply.ServiceTime.count(),
-        Answer.Reply.Load.BusySlots, Answer.Reply.Load.Slots,
-        Answer.Reply.Load.Queued, Answer.Timeout.count(),
+        microsSince(Call.Arrived), Answer.Reply.QueueTime.count(),
+        Answer.Reply.ServiceTime.count(), Answer.Reply.Load.BusySlots,
+        Answer.Reply.Load.Slots, Answer.Reply.Load.Queued,
+        Answer.Timeout.count(),
         Answer.LowQuantileLatency.value_or(Common::Micros(0)).count(),
         Answer.UnroutedPath, Answer.ExpectedCost.count(),
         Answer.Reply.Load.Backlog.count(), Answer.Reply.Load.SlownessPercent);
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -109,6 +109,8 @@
 struct SendReply {
   OriginId Origin = LocalOrigin;
   Routing::CallReply Reply;
+  // That of the request.
+  std::string CorrelationId = {};
 };
 // Publishes the load of the local backend server to the ingress and to other
 // nodes.
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -59,6 +59,16 @@
   }
 
   void stop() {
+    for (const auto &[Address, Connection] : Outbound)
+      if (!Connection.PendingAttempts.empty())
+        spdlog::warn("dependency=node state=closed address={} "
+                     "pending-attempts={} reason=\"this node stops\"",
+                     Address, Connection.PendingAttempts.size());
+    for (const auto &[Origin, Connection] : Inbound)
+      if (Connection.Socket->unsentBytes() > 0)
+        spdlog::warn("event=replies-cut origin={} unsent-bytes={} "
+                     "reason=\"this node stops\"",
+                     Origin, Connection.Socket->unsentBytes());
     Listener.reset();
     Outbound.clear();
     Inbound.clear();
@@ -147,8 +157,13 @@
     }
     // The reply is dropped when the connection of its origin is lost.
     const auto Found = Inbound.find(Command.Origin);
-    if (Found == Inbound.end())
+    if (Found == Inbound.end()) {
+      spdlog::warn("event=reply-dropped id={} origin={} code={} {}",
+                   Command.CorrelationId, Command.Origin,
+                   Common::resultCodeNumber(Command.Reply.Result),
+                   Common::resultCodeName(Command.Reply.Result));
       return;
+    }
     Found->second.Sharing.onLoadSent(Command.Reply.Load, now());
     Found->second.Socket->send(Wire::encodeFrame(Command.Reply));
   }
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -861,6 +861,7 @@
   for (const AttemptId Id : Lost) {
     CallReply LostReply;
     LostReply.Attempt = Id;
+    LostReply.Server = Attempts.at(Id).Server.Server;
     LostReply.Result = Common::ResultCode::ConnectionLost;
     resolveAttempt(Id, LostReply, Now, Actions);
   }
