Part the ending of connections from EdgeServer.cpp

EdgeClosing.cpp takes what ends, rejects or closes connections; EdgeServerState.h holds the state of both. No function changes.

--- a/Source/Core/Http/EdgeMessages.h
+++ b/Source/Core/Http/EdgeMessages.h
@@ -15,6 +15,8 @@
 struct EdgeLimits;
 
 constexpr int HeaderFieldsTooLarge = 431;
+constexpr int RequestTimeout = 408;
+constexpr int ServiceUnavailable = 503;
 
 using EdgeParser = boost::beast::http::request_parser<BoundedBody>;
 
--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -1,16 +1,10 @@
 #include "Http/EdgeServer.h"
 
 #include <optional>
-#include <unordered_map>
 #include <utility>
-#include <vector>
-
-#include <spdlog/spdlog.h>
 
 #include "Http/BeastConversions.h"
-#include "Http/BufferBudget.h"
-#include "Http/EdgeConnection.h"
-#include "Net/Listener.h"
+#include "Http/EdgeServerState.h"
 
 namespace Http {
 
@@ -22,26 +16,12 @@
 using Edge::OpenExchange;
 using Edge::Phase;
 
-constexpr Common::Millis SweepInterval{250};
-// How long a caller may take to close a connection that the server has shut
-// down.
-constexpr Common::Millis LingerTimeout{2'000};
 // Bytes of pipelined requests that are buffered while no further request may
 // be parsed. Beyond this the server stops reading from the connection.
 constexpr std::size_t MaxPipelinedBytes = 64 << 10;
 // Requests of one connection that may be open at once.
 constexpr std::size_t MaxPipelinedRequests = 16;
 
-// The least rate at which a caller has to send a body. It is far below that of
-// the slowest links, so it ends only requests that would never be complete.
-constexpr std::int64_t MinBodyBytesPerSecond = 1 << 10;
-
-// How soon a caller that was refused for lack of memory may try again.
-constexpr const char *RetryAfterSeconds = "1";
-
-constexpr int RequestTimeout = 408;
-constexpr int ServiceUnavailable = 503;
-
 // Whether a request that follows the open ones may be parsed.
 bool mayParse(const Connection &Peer) {
   if (Peer.Held || Peer.PendingRejection || Peer.State == Phase::Closing)
@@ -62,66 +42,6 @@
 
 } // namespace
 
-struct EdgeServer::Impl {
-  using ConnectionId = std::uint64_t;
-
-  explicit Impl(const EdgeServerBuilder &Builder)
-      : Task(Builder.Task), Clock(Builder.Task), Limits(Builder.Limits),
-        Capacity(Builder.Capacity),
-        Budget({.Bytes = Builder.Capacity.BufferedBytes}),
-        OnRequest(Builder.OnRequest),
-        OnCallerDisconnected(Builder.OnCallerDisconnected) {}
-
-  ~Impl() {
-    for (const auto &[Id, Open] : Connections)
-      reportCut(Open, "the server stops");
-  }
-
-  static SteadyTime now() { return std::chrono::steady_clock::now(); }
-
-  void accept(const Net::Listener::Adopter &Adopt);
-  void handleBytes(ConnectionId Id, std::string_view Bytes);
-  void parseAll(ConnectionId Id, Connection &Peer);
-  // Returns true if a request was complete.
-  bool parse(ConnectionId Id, Connection &Peer);
-  void continueIfExpected(Connection &Peer);
-  void discard(ConnectionId Id, Connection &Peer);
-  void dispatch(ConnectionId Id, Connection &Peer);
-  void pass(ConnectionId Id, Connection &Peer, OpenExchange Exchange,
-            Request Received);
-  void sendReady(ConnectionId Id, Connection &Peer);
-  void parseLater(ConnectionId Id);
-  void reject(ConnectionId Id, Connection &Peer, int Status);
-  bool mayHold(ConnectionId Id, const Connection &Peer);
-  void giveWay(const std::vector<ConnectionId> &Ids);
-  void makeRoom();
-  void recordHeld(ConnectionId Id, const Connection &Peer);
-  void close(Connection &Peer);
-  void handleClosed(ConnectionId Id, const std::string &Reason);
-  void reportCut(const Connection &Peer, std::string_view Reason) const;
-  void sweep();
-  Common::Duration readTimeout(const Connection &Peer) const;
-  void enterPhase(Connection &Peer, Phase Next) {
-    Peer.State = Next;
-    Peer.PhaseStart = now();
-  }
-
-  Kernel::Task &Task;
-  Kernel::Timers Clock;
-  EdgeLimits Limits;
-  EdgeCapacity Capacity;
-  BufferBudget Budget;
-  std::function<void(ExchangeId, Request)> OnRequest;
-  std::function<void(ExchangeId)> OnCallerDisconnected;
-  std::unique_ptr<Net::Listener> Listener;
-  int Port = 0;
-  bool Draining = false;
-  std::unordered_map<ConnectionId, Connection> Connections;
-  std::unordered_map<ExchangeId, ConnectionId> Exchanges;
-  ConnectionId NextConnection = 1;
-  ExchangeId NextExchange = 1;
-};
-
 void EdgeServer::Impl::accept(const Net::Listener::Adopter &Adopt) {
   if (Connections.size() >= Capacity.Connections)
     makeRoom();
@@ -141,30 +61,6 @@
   enterPhase(Opened, Phase::Idle);
 }
 
-// Closes the connection that is least likely to be missed: one that waits for
-// its caller to close it, then the one that has been idle for longest, then the
-// one that has been sending its request for longest. None if all of them have
-// a request open.
-void EdgeServer::Impl::makeRoom() {
-  const auto Rank = [](const Connection &Candidate) {
-    return Candidate.State == Phase::Closing ? 0
-           : Candidate.State == Phase::Idle  ? 1
-                                             : 2;
-  };
-  auto Selected = Connections.end();
-  for (auto Next = Connections.begin(); Next != Connections.end(); ++Next)
-    if (Next->second.State != Phase::Responding &&
-        (Selected == Connections.end() ||
-         std::pair(Rank(Next->second), Next->second.PhaseStart) <
-             std::pair(Rank(Selected->second), Selected->second.PhaseStart)))
-      Selected = Next;
-  if (Selected == Connections.end())
-    return;
-  reportCut(Selected->second, "too many connections");
-  Budget.release(Selected->first);
-  Connections.erase(Selected);
-}
-
 // Whether the memory that the connection takes now fits. Makes others give way
 // for it.
 bool EdgeServer::Impl::mayHold(ConnectionId Id, const Connection &Peer) {
@@ -173,16 +69,6 @@
   return Decision.Granted;
 }
 
-void EdgeServer::Impl::giveWay(const std::vector<ConnectionId> &Ids) {
-  for (const ConnectionId Id : Ids) {
-    Connection &Peer = Connections.at(Id);
-    if (Peer.State == Phase::Reading)
-      reject(Id, Peer, ServiceUnavailable);
-    else
-      Peer.Stream->closeNow("too many bytes held for callers");
-  }
-}
-
 // Keeps account of what is left after a response, which the caller may not have
 // taken yet.
 void EdgeServer::Impl::recordHeld(ConnectionId Id, const Connection &Peer) {
@@ -212,22 +98,6 @@
     Peer.Stream->setReading(false);
 }
 
-// Closes the connection after the responses to the open requests. What came
-// behind them has not been read.
-void EdgeServer::Impl::discard(ConnectionId Id, Connection &Peer) {
-  if (Peer.Open.empty()) {
-    reject(Id, Peer, ServiceUnavailable);
-    return;
-  }
-  Peer.Open.back().KeepAlive = false;
-  Peer.Discarding = true;
-  Peer.RequestParser.reset();
-  Peer.HeldBytes = 0;
-  Peer.Held.reset();
-  Peer.PendingRejection.reset();
-  std::string().swap(Peer.Incoming);
-}
-
 void EdgeServer::Impl::parseAll(ConnectionId Id, Connection &Peer) {
   while (mayParse(Peer) && !Peer.Incoming.empty())
     if (!parse(Id, Peer))
@@ -390,100 +260,6 @@
   });
 }
 
-void EdgeServer::Impl::reject(ConnectionId Id, Connection &Peer, int Status) {
-  if (!Peer.Open.empty()) {
-    // Earlier requests are answered first.
-    Peer.RequestParser.reset();
-    Peer.HeldBytes = 0;
-    std::string().swap(Peer.Incoming);
-    Peer.Discarding = true;
-    Peer.PendingRejection = Status;
-    return;
-  }
-  Response Reply;
-  Reply.Status = Status;
-  if (Status == ServiceUnavailable)
-    Reply.Fields["retry-after"] = RetryAfterSeconds;
-  Peer.Stream->write(encodeResponse(Reply, false, false));
-  close(Peer);
-  Peer.RequestParser.reset();
-  Peer.HeldBytes = 0;
-  Peer.Held.reset();
-  std::string().swap(Peer.Incoming);
-  Budget.release(Id);
-}
-
-void EdgeServer::Impl::close(Connection &Peer) {
-  enterPhase(Peer, Phase::Closing);
-  Peer.Stream->closeGracefully();
-}
-
-// Logs what a connection that this side ends leaves unanswered or unsent.
-void EdgeServer::Impl::reportCut(const Connection &Peer,
-                                 std::string_view Reason) const {
-  const std::size_t Unsent = Peer.Stream->unsentBytes();
-  if (Unsent == 0 && Peer.Open.empty() && !Peer.Held &&
-      Peer.State != Phase::Reading)
-    return;
-  spdlog::warn("event=connection-cut port={} last-answered={} unsent-bytes={} "
-               "open-requests={} first-open={} incomplete-request={} "
-               "reason=\"{}\"",
-               Port, Peer.LastAnswered, Unsent,
-               Peer.Open.size() + (Peer.Held ? 1 : 0),
-               Peer.Open.empty() ? 0 : Peer.Open.front().Id,
-               Peer.RequestParser != nullptr, Reason);
-}
-
-void EdgeServer::Impl::handleClosed(ConnectionId Id,
-                                    const std::string &Reason) {
-  Budget.release(Id);
-  const auto Entry = Connections.extract(Id);
-  if (Entry.empty())
-    return;
-  const std::size_t Unsent = Entry.mapped().Stream->unsentBytes();
-  if (Unsent > 0)
-    spdlog::info("event=response-not-taken port={} last-answered={} "
-                 "unsent-bytes={} reason=\"{}\"",
-                 Port, Entry.mapped().LastAnswered, Unsent, Reason);
-  for (const OpenExchange &Exchange : Entry.mapped().Open)
-    if (Exchanges.erase(Exchange.Id) > 0)
-      OnCallerDisconnected(Exchange.Id);
-}
-
-// How long a request may take to arrive, given the bytes received so far.
-Common::Duration EdgeServer::Impl::readTimeout(const Connection &Peer) const {
-  if (!Peer.RequestParser->is_header_done())
-    return Limits.HeaderTimeout;
-  return Limits.HeaderTimeout +
-         std::chrono::seconds(1) * Peer.RequestBytes / MinBodyBytesPerSecond;
-}
-
-// Applies the timeout of the current phase to each connection. One timer serves
-// all connections.
-void EdgeServer::Impl::sweep() {
-  Clock.after(SweepInterval, [this] { sweep(); });
-  const SteadyTime Now = now();
-  std::vector<ConnectionId> Lingering;
-  for (auto &[Id, Open] : Connections) {
-    const Common::Duration Age = Now - Open.PhaseStart;
-    if (Open.State == Phase::Idle && Age > Limits.IdleTimeout)
-      close(Open);
-    else if (Open.State == Phase::Reading &&
-             (Age > readTimeout(Open) ||
-              Now - Open.LastReceived > Limits.IdleTimeout))
-      reject(Id, Open, RequestTimeout);
-    else if (Open.State == Phase::Closing && Age > LingerTimeout)
-      Lingering.push_back(Id);
-    if (Open.State == Phase::Idle || Open.State == Phase::Closing)
-      recordHeld(Id, Open);
-  }
-  for (const ConnectionId Id : Lingering) {
-    reportCut(Connections.at(Id), "the caller did not close in time");
-    Budget.release(Id);
-    Connections.erase(Id);
-  }
-}
-
 EdgeServer::EdgeServer(std::unique_ptr<Impl> State) : Self(std::move(State)) {}
 EdgeServer::~EdgeServer() = default;
 
@@ -511,15 +287,6 @@
 
 void EdgeServer::useLimits(const EdgeLimits &Limits) { Self->Limits = Limits; }
 
-void EdgeServer::drainConnections() { Self->Draining = true; }
-
-void EdgeServer::stopListening() {
-  Self->Listener.reset();
-  for (auto &[Id, Open] : Self->Connections)
-    if (Open.State == Phase::Idle)
-      Self->close(Open);
-}
-
 EdgeServerBuilder &EdgeServerBuilder::address(std::string Value) {
   Address = std::move(Value);
   return *this;
