Keep a closing connection open while its caller takes the response

The time now counts from the last progress of the caller, by what the kernel has still to deliver (SIOCOUTQ) and what was not handed to it yet: 2 s after everything was delivered, 5 s while nothing is taken.

SlowCallerReceivesTheWholeLastResponse failed before: event=connection-cut unsent-bytes=6231011 reason="the caller did not close in time" check Read.size() > LargeBytes has failed [ <=]

--- a/Source/Core/Http/EdgeClosing.cpp
+++ b/Source/Core/Http/EdgeClosing.cpp
@@ -15,9 +15,11 @@
 using Edge::Phase;
 
 constexpr Common::Millis SweepInterval{250};
-// How long a caller may take to close a connection that the server has shut
-// down.
+// How long a caller may take to close a connection after it has taken the last
+// response.
 constexpr Common::Millis LingerTimeout{2'000};
+// How long a caller may take nothing of the last response.
+constexpr Common::Millis StallTimeout{5'000};
 
 // The least rate at which a caller has to send a body. It is far below that of
 // the slowest links, so it ends only requests that would never be complete.
@@ -103,6 +105,7 @@
 
 void EdgeServer::Impl::close(Connection &Peer) {
   enterPhase(Peer, Phase::Closing);
+  Peer.LastTaken = Peer.PhaseStart;
   Peer.Stream->closeGracefully();
 }
 
@@ -146,6 +149,15 @@
          std::chrono::seconds(1) * Peer.RequestBytes / MinBodyBytesPerSecond;
 }
 
+// Whether a closing connection has waited for its caller for too long.
+bool EdgeServer::Impl::hasLingered(Connection &Peer) const {
+  const std::size_t Undelivered = Peer.Stream->undeliveredBytes();
+  if (Undelivered != std::exchange(Peer.UndeliveredBytes, Undelivered))
+    Peer.LastTaken = now();
+  return now() - Peer.LastTaken >
+         (Undelivered == 0 ? LingerTimeout : StallTimeout);
+}
+
 // Applies the timeout of the current phase to each connection. One timer serves
 // all connections.
 void EdgeServer::Impl::sweep() {
@@ -160,7 +172,7 @@
              (Age > readTimeout(Open) ||
               Now - Open.LastReceived > Limits.IdleTimeout))
       reject(Id, Open, RequestTimeout);
-    else if (Open.State == Phase::Closing && Age > LingerTimeout)
+    else if (Open.State == Phase::Closing && hasLingered(Open))
       Lingering.push_back(Id);
     if (Open.State == Phase::Idle || Open.State == Phase::Closing)
       recordHeld(Id, Open);
--- a/Source/Core/Http/EdgeConnection.h
+++ b/Source/Core/Http/EdgeConnection.h
@@ -53,6 +53,10 @@
   std::optional<int> PendingRejection;
   // When the current phase began.
   Common::SteadyTime PhaseStart;
+  // While the connection closes: what the caller has still to take, and when it
+  // last took something.
+  std::size_t UndeliveredBytes = 0;
+  Common::SteadyTime LastTaken;
   bool ContinueSent = false;
 };
 
--- a/Source/Core/Http/EdgeServerState.h
+++ b/Source/Core/Http/EdgeServerState.h
@@ -47,6 +47,7 @@
   void close(Edge::Connection &Peer);
   void handleClosed(ConnectionId Id, const std::string &Reason);
   void reportCut(const Edge::Connection &Peer, std::string_view Reason) const;
+  bool hasLingered(Edge::Connection &Peer) const;
   void sweep();
   Common::Duration readTimeout(const Edge::Connection &Peer) const;
   void enterPhase(Edge::Connection &Peer, Edge::Phase Next) {
--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -7,6 +7,7 @@
 #include <ace/INET_Addr.h>
 #include <ace/SOCK_Connector.h>
 #include <ace/SOCK_Stream.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <spdlog/spdlog.h>
 #include <sys/ioctl.h>
@@ -296,6 +297,14 @@
   return Self->Outgoing.size() - Self->SentBytes;
 }
 
+std::size_t ByteStream::undeliveredBytes() const {
+  int Unacknowledged = 0;
+  if (Self->Closed || Self->Connecting ||
+      ::ioctl(Self->Stream.get_handle(), SIOCOUTQ, &Unacknowledged) != 0)
+    Unacknowledged = 0;
+  return unsentBytes() + static_cast<std::size_t>(Unacknowledged);
+}
+
 std::string ByteStream::peerAddress() const {
   ACE_INET_Addr Peer;
   if (Self->Stream.get_remote_addr(Peer) < 0)
--- a/Source/Core/Net/ByteStream.h
+++ b/Source/Core/Net/ByteStream.h
@@ -59,6 +59,8 @@
 
   bool isConnected() const;
   std::size_t unsentBytes() const;
+  // The unsent bytes, and those that the kernel has still to deliver.
+  std::size_t undeliveredBytes() const;
   // The IP address of the peer.
   std::string peerAddress() const;
 
--- /dev/null
+++ b/Source/UnitTests/Http/EdgeClosingTests.cpp
@@ -0,0 +1,87 @@
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Http/EdgeServer.h"
+#include "UnitTests/RawSocket.h"
+
+BOOST_AUTO_TEST_SUITE(EdgeClosings)
+
+namespace {
+
+using Common::Millis;
+using UnitTests::RawSocket;
+
+constexpr std::size_t LargeBytes = 24 << 20;
+constexpr int SmallBuffer = 64 << 10;
+
+std::string request(const std::string &Path, const std::string &Fields = "") {
+  return "GET " + Path + " HTTP/1.1\r\nHost: h\r\n" + Fields + "\r\n";
+}
+
+// Responds with a large body to /large, leaves /hold open, and answers
+// everything else at once.
+struct Fixture {
+  Kernel::Task Worker{"t"};
+  std::unique_ptr<Http::EdgeServer> Server;
+  std::vector<Http::ExchangeId> Held;
+  int Finished = 0;
+  int Port = 0;
+
+  Fixture() {
+    Worker.spawn();
+    Worker.runAndWait([this] {
+      Server =
+          Http::EdgeServerBuilder(Worker)
+              .onRequest([this](Http::ExchangeId Id, const Http::Request &Got) {
+                if (Got.Path == "/hold")
+                  Held.push_back(Id);
+                else
+                  Server->respond(Id, {200,
+                                       {},
+                                       Got.Path == "/large"
+                                           ? std::string(LargeBytes, 'x')
+                                           : "done " + Got.Path});
+              })
+              .build();
+      Port = Server->port();
+    });
+  }
+  ~Fixture() {
+    Worker.runAndWait([this] { Server.reset(); });
+  }
+
+  template <class Predicate>
+  bool waitFor(const Predicate &Condition, Millis Timeout = Millis(5000)) {
+    const auto Deadline = std::chrono::steady_clock::now() + Timeout;
+    bool IsMet = false;
+    while (!IsMet && std::chrono::steady_clock::now() < Deadline) {
+      Worker.runAndWait([&] { IsMet = Condition(); });
+      std::this_thread::sleep_for(Millis(2));
+    }
+    return IsMet;
+  }
+};
+
+} // namespace
+
+// A caller that needs longer than the linger timeout to receive a response lost
+// the rest of it.
+BOOST_FIXTURE_TEST_CASE(SlowCallerReceivesTheWholeLastResponse, Fixture) {
+  RawSocket Caller(Port, SmallBuffer);
+  Caller.send(request("/large", "Connection: close\r\n"));
+  const std::string &Read =
+      Caller.readSlowly(1 << 20, Millis(150), Millis(15'000));
+  BOOST_TEST(!Caller.wasReset());
+  BOOST_TEST(Read.size() > LargeBytes);
+}
+
+BOOST_FIXTURE_TEST_CASE(CallerThatTakesNothingIsDisconnected, Fixture) {
+  RawSocket Caller(Port, SmallBuffer);
+  Caller.send(request("/large", "Connection: close\r\n"));
+  BOOST_REQUIRE(waitFor([this] { return Server->bufferedBytes() > 0; }));
+  BOOST_TEST(
+      waitFor([this] { return Server->bufferedBytes() == 0; }, Millis(10'000)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/RawSocket.h
+++ b/Source/UnitTests/RawSocket.h
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <string_view>
+#include <thread>
 
 #include <arpa/inet.h>
 #include <poll.h>
@@ -16,7 +17,12 @@
 // A blocking TCP socket on loopback, for input that no HTTP library would send.
 class RawSocket {
 public:
-  explicit RawSocket(int Port) : Fd(::socket(AF_INET, SOCK_STREAM, 0)) {
+  // ReceiveBuffer limits how far the peer can send ahead; 0 keeps the default.
+  explicit RawSocket(int Port, int ReceiveBuffer = 0)
+      : Fd(::socket(AF_INET, SOCK_STREAM, 0)) {
+    if (ReceiveBuffer > 0)
+      ::setsockopt(Fd.value(), SOL_SOCKET, SO_RCVBUF, &ReceiveBuffer,
+                   sizeof ReceiveBuffer);
     sockaddr_in Address = {};
     Address.sin_family = AF_INET;
     Address.sin_port = htons(static_cast<std::uint16_t>(Port));
@@ -55,6 +61,22 @@
     return Closed;
   }
 
+  // Reads up to Bytes at intervals until the peer closes or Timeout has passed.
+  // Returns all data received so far.
+  const std::string &readSlowly(std::size_t Bytes, Common::Millis Interval,
+                                Common::Millis Timeout) {
+    const auto Deadline = std::chrono::steady_clock::now() + Timeout;
+    while (!Closed && std::chrono::steady_clock::now() < Deadline) {
+      std::this_thread::sleep_for(Interval);
+      for (const std::size_t End = Received.size() + Bytes;
+           Received.size() < End && readSome(Deadline);) {
+      }
+    }
+    return Received;
+  }
+
+  bool wasReset() const { return Reset; }
+
   void close() { Fd.reset(); }
 
 private:
@@ -69,6 +91,7 @@
     const ssize_t Count = ::recv(Fd.value(), Chunk, sizeof Chunk, 0);
     if (Count <= 0) {
       Closed = true;
+      Reset = Count < 0;
       return false;
     }
     Received.append(Chunk, static_cast<std::size_t>(Count));
@@ -78,6 +101,7 @@
   Common::UniqueFd Fd;
   bool Connected = false;
   bool Closed = false;
+  bool Reset = false;
   std::string Received;
 };
 
