Let a planned stop end only after all responses are sent

EdgeServer::finish() ends the connections and reports when no request is open and the kernel has taken all responses; ByteStream reports the latter as OnAllSent. Callers then have 200 ms to close; the server finishes at once if all have. The deadline of the host still limits the stop.

In Node/ this changes finishDrainIfIdle() only.

PlannedStopSendsWholeResponses failed before: event=connection-cut unsent-bytes=9411239 reason="the server stops" check Received.size() > Bytes has failed [7366105 <=]

--- a/Source/Core/Http/EdgeClosing.cpp
+++ b/Source/Core/Http/EdgeClosing.cpp
@@ -25,6 +25,10 @@
 // the slowest links, so it ends only requests that would never be complete.
 constexpr std::int64_t MinBodyBytesPerSecond = 1 << 10;
 
+// How long the last callers may take to close their connections before a server
+// that has sent all responses ends.
+constexpr Common::Millis FinalLinger{200};
+
 // How soon a caller that was refused for lack of memory may try again.
 constexpr const char *RetryAfterSeconds = "1";
 
@@ -139,6 +143,7 @@
   for (const OpenExchange &Exchange : Entry.mapped().Open)
     if (Exchanges.erase(Exchange.Id) > 0)
       OnCallerDisconnected(Exchange.Id);
+  continueFinish();
 }
 
 // How long a request may take to arrive, given the bytes received so far.
@@ -182,6 +187,31 @@
     Budget.release(Id);
     Connections.erase(Id);
   }
+  continueFinish();
+}
+
+// Closes what has become idle. Reports that the server has finished when all
+// responses are sent.
+void EdgeServer::Impl::continueFinish() {
+  if (!OnFinished)
+    return;
+  bool IsSent = true;
+  for (auto &[Id, Open] : Connections) {
+    if (Open.State == Phase::Idle)
+      close(Open);
+    if (Open.State == Phase::Responding || Open.Stream->unsentBytes() > 0)
+      IsSent = false;
+  }
+  if (!IsSent || (FinishTimer && !Connections.empty()))
+    return;
+  if (FinishTimer)
+    Clock.cancel(*FinishTimer);
+  FinishTimer = Clock.after(
+      Connections.empty() ? Common::Duration::zero() : FinalLinger, [this] {
+        FinishTimer.reset();
+        if (OnFinished)
+          std::exchange(OnFinished, nullptr)();
+      });
 }
 
 void EdgeServer::drainConnections() { Self->Draining = true; }
@@ -193,4 +223,11 @@
       Self->close(Open);
 }
 
+void EdgeServer::finish(std::function<void()> OnFinished) {
+  drainConnections();
+  stopListening();
+  Self->OnFinished = std::move(OnFinished);
+  Self->continueFinish();
+}
+
 } // namespace Http
--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -53,6 +53,7 @@
   Handlers.OnClosed = [this, Id](Net::StreamEnd, const std::string &Reason) {
     handleClosed(Id, Reason);
   };
+  Handlers.OnAllSent = [this] { continueFinish(); };
   auto Stream = Adopt(std::move(Handlers));
   if (Connections.size() >= Capacity.Connections)
     return; // Closes the new connection.
--- a/Source/Core/Http/EdgeServer.h
+++ b/Source/Core/Http/EdgeServer.h
@@ -46,6 +46,10 @@
   void drainConnections();
   // Stops accepting connections and closes those that are idle.
   void stopListening();
+  // Ends all connections: those that are idle now, the others after their open
+  // requests. OnFinished is called once, from the event loop, when no request
+  // is open and the kernel has taken all responses.
+  void finish(std::function<void()> OnFinished);
 
 private:
   friend class EdgeServerBuilder;
--- a/Source/Core/Http/EdgeServerState.h
+++ b/Source/Core/Http/EdgeServerState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -47,6 +48,7 @@
   void close(Edge::Connection &Peer);
   void handleClosed(ConnectionId Id, const std::string &Reason);
   void reportCut(const Edge::Connection &Peer, std::string_view Reason) const;
+  void continueFinish();
   bool hasLingered(Edge::Connection &Peer) const;
   void sweep();
   Common::Duration readTimeout(const Edge::Connection &Peer) const;
@@ -65,6 +67,8 @@
   std::unique_ptr<Net::Listener> Listener;
   int Port = 0;
   bool Draining = false;
+  std::function<void()> OnFinished;
+  std::optional<Kernel::TimerId> FinishTimer;
   std::unordered_map<ConnectionId, Edge::Connection> Connections;
   std::unordered_map<ExchangeId, ConnectionId> Exchanges;
   ConnectionId NextConnection = 1;
--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -158,6 +158,7 @@
 }
 
 void ByteStream::Impl::writeAll() {
+  const bool IsSending = !Outgoing.empty();
   while (SentBytes < Outgoing.size()) {
     const ssize_t Count =
         ::send(Stream.get_handle(), Outgoing.data() + SentBytes,
@@ -185,6 +186,8 @@
     WaitingForWrite = MustWait;
     updateInterest();
   }
+  if (IsSending && !MustWait)
+    Handlers.OnAllSent();
 }
 
 // The received bytes that the kernel still holds.
--- a/Source/Core/Net/ByteStream.h
+++ b/Source/Core/Net/ByteStream.h
@@ -30,6 +30,9 @@
     // Called once, from the event loop. It may destroy the stream.
     std::function<void(StreamEnd, const std::string &)> OnClosed;
     std::function<void()> OnConnected = [] {};
+    // Called from the event loop whenever the kernel has taken all bytes
+    // written so far.
+    std::function<void()> OnAllSent = [] {};
   };
 
   ~ByteStream();
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -111,7 +111,7 @@
     std::string Tenant = {};
   };
 
-  // Leaves the sockets time to write out the last answers.
+  // Left for the callers to receive the last answers.
   static constexpr Common::Millis WriteOutTime{200};
   static constexpr std::size_t MaxBufferedSamples = 256;
   static constexpr Common::Millis SampleInterval{250};
@@ -420,7 +420,7 @@
   void finishDrainIfIdle() {
     if (!OnDrained || !Draining || Calls.openCalls() > 0 || Pending.size() > 0)
       return;
-    Clock.after(WriteOutTime, std::exchange(OnDrained, nullptr));
+    Listener->finish(std::exchange(OnDrained, nullptr));
   }
 
   Kernel::Task &Task;
--- a/Source/UnitTests/Http/EdgeClosingTests.cpp
+++ b/Source/UnitTests/Http/EdgeClosingTests.cpp
@@ -84,4 +84,25 @@
       waitFor([this] { return Server->bufferedBytes() == 0; }, Millis(10'000)));
 }
 
+BOOST_FIXTURE_TEST_CASE(FinishWaitsForOpenRequestsAndUnsentBytes, Fixture) {
+  RawSocket Slow(Port, SmallBuffer);
+  Slow.send(request("/large"));
+  RawSocket Open(Port);
+  Open.send(request("/hold"));
+  RawSocket Idle(Port);
+  Idle.send(request("/1"));
+  Idle.readUntil("done /1");
+  BOOST_REQUIRE(waitFor([this] { return Held.size() == 1; }));
+  Worker.runAndWait([this] { Server->finish([this] { ++Finished; }); });
+  BOOST_TEST(Idle.isClosed());
+  BOOST_TEST(!RawSocket(Port).isConnected());
+  BOOST_TEST(Slow.readSlowly(4 << 20, Millis(10), Millis(5000)).size() >
+             LargeBytes);
+  BOOST_TEST(!waitFor([this] { return Finished > 0; }, Millis(400)));
+  Worker.runAndWait([this] { Server->respond(Held[0], {200, {}, "held"}); });
+  BOOST_TEST(Open.readUntil("held").find("connection: close") !=
+             std::string::npos);
+  BOOST_TEST(waitFor([this] { return Finished == 1; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Node/IngressServiceTests.cpp
+++ b/Source/UnitTests/Node/IngressServiceTests.cpp
@@ -1,3 +1,7 @@
+#include <atomic>
+#include <functional>
+#include <thread>
+
 #include <boost/test/unit_test.hpp>
 
 #include "Config/ObjectSetBuilder.h"
@@ -25,12 +29,12 @@
   Node::NodeSettings Settings;
   std::unique_ptr<Ingress> Tested;
 
-  Fixture() {
+  explicit Fixture(Millis ServeOnLimit = Millis(60'000)) {
     Worker.spawn();
     Settings.CallAddress = "127.0.0.1";
     Settings.OpenCallLimit = 100;
     Settings.BodyLimit = 1000;
-    Settings.ServeOnLimit = Millis(60'000);
+    Settings.ServeOnLimit = ServeOnLimit;
     Settings.Quota = {std::chrono::seconds(5), 0.1, 20};
     Worker.runAndWait([this] {
       Settings.CallPort =
@@ -70,6 +74,15 @@
   static std::string request(const std::string &Path) {
     return "GET " + Path + " HTTP/1.1\r\nHost: h\r\n\r\n";
   }
+  bool waitFor(const std::function<bool()> &Condition) {
+    const auto Deadline = std::chrono::steady_clock::now() + Millis(8000);
+    bool IsMet = false;
+    while (!IsMet && std::chrono::steady_clock::now() < Deadline) {
+      Worker.runAndWait([&] { IsMet = Condition(); });
+      std::this_thread::sleep_for(Millis(2));
+    }
+    return IsMet;
+  }
   std::size_t passedOn() {
     std::size_t Result = 0;
     Worker.runAndWait([&] { Result = ToPeers.size(); });
@@ -97,6 +110,43 @@
 
 namespace {
 
+// Refuses new calls as soon as it drains.
+struct StoppingFixture : Fixture {
+  StoppingFixture() : Fixture(Millis(0)) {}
+};
+
+} // namespace
+
+// A planned stop cut responses that their callers were still receiving.
+BOOST_FIXTURE_TEST_CASE(PlannedStopSendsWholeResponses, StoppingFixture) {
+  constexpr std::size_t Bytes = 16 << 20;
+  constexpr int SmallBuffer = 64 << 10;
+  UnitTests::RawSocket Caller(Settings.CallPort, SmallBuffer);
+  Caller.send(request("/long"));
+  BOOST_REQUIRE(waitFor([this] { return ToPeers.size() == 1; }));
+  std::string Received;
+  std::thread Reader([&] {
+    Received = Caller.readSlowly(1 << 20, Millis(50), Millis(10'000));
+  });
+  std::atomic<bool> Done = false;
+  Worker.runAndWait([&] {
+    Tested->drain([&] { Done = true; },
+                  std::chrono::steady_clock::now() + Millis(8000));
+    Routing::CallReply Reply;
+    Reply.Attempt = std::get<Node::SendRequest>(ToPeers[0]).Request.Attempt;
+    Reply.HttpStatus = 200;
+    Reply.Body = std::string(Bytes, 'x');
+    Tested->handle(Node::ReplyArrived{Reply});
+  });
+  BOOST_TEST(waitFor([&] { return Done.load(); }));
+  Worker.runAndWait([this] { Tested->stop(); });
+  Reader.join();
+  BOOST_TEST(!Caller.wasReset());
+  BOOST_TEST(Received.size() > Bytes);
+}
+
+namespace {
+
 // The same node with a set that has a tenant with a quota.
 struct TenantFixture : Fixture {
   TenantFixture() {
