--- a/Source/Core/Net/ByteStream.h
+++ b/Source/Core/Net/ByteStream.h
@@ -30,6 +30,9 @@
     // Called once, from the event loop. It may destroy the stream.
     std::function<void(StreamEnd, const std::string &)> OnClosed;
     std::function<void()> OnConnected = [] {};
+    // Called from the event loop whenever the kernel has taken all bytes
+    // written so far.
+    std::function<void()> OnAllSent = [] {};
   };
 
   ~ByteStream();
@@ -59,6 +62,8 @@
 
   bool isConnected() const;
   std::size_t unsentBytes() const;
+  // The unsent bytes, and those that the kernel has still to deliver.
+  std::size_t undeliveredBytes() const;
   // The IP address of the peer.
   std::string peerAddress() const;
 
