Refuse calls of other nodes that may outlast a planned stop

Callers saw 502 for a call that a server was still running, when the node beside the server was stopped: the server side did not know when its process ends. It admitted calls of other nodes until its own callers' calls had ended, and Host::stop cut what still ran at the drain limit.

The host now tells each service that wants to know when it stops, before the first service drains (StopPreparingService, in place of DeadlineDrainingService, which told each only when its turn came). The server side then refuses calls whose time reaches beyond that as Draining, also those that wait for a slot.

TellsDrainingServicesWhenTheHostStops becomes TellsAllServicesWhenTheHostStopsBeforeTheFirstDrain, which also checks the order and an upper bound; PlannedStopAcceptsOnlyCallsThatItCanAnswer calls the new function and checks the same as before.

With a hook that does nothing in BackendService the new tests fail:

PlannedStopTakesOnlyCallsOfOtherNodesThatCanEnd: check (reply(0).Result == Common::ResultCode::Draining) has failed PlannedStopSendsBackWaitingCallsThatMayOutlastIt: check reply(0).Attempt == 2 has failed [3 != 2]

--- a/Source/Core/Kernel/Host.cpp
+++ b/Source/Core/Kernel/Host.cpp
@@ -29,7 +29,9 @@
   Task *Owner;
   std::vector<std::string> Dependencies;
   std::function<void()> Start;
-  std::function<void(std::function<void()>, Common::SteadyTime)> Drain;
+  // Empty if the service does not need it.
+  std::function<void(Common::SteadyTime)> PrepareStop;
+  std::function<void(std::function<void()>)> Drain;
   std::function<void()> Stop;
 };
 
@@ -87,12 +89,17 @@
 void Host::stop(Common::Duration Timeout) {
   const Common::SteadyTime Began = std::chrono::steady_clock::now();
   const Common::SteadyTime Deadline = Began + Timeout;
+  for (std::size_t Index = StartedCount; Index-- > 0;) {
+    const ServiceEntry &Entry = *ServiceEntries[Index];
+    if (Entry.PrepareStop)
+      Entry.Owner->runAndWait([&] { Entry.PrepareStop(Deadline); });
+  }
   for (std::size_t Index = StartedCount; Index-- > 0;) {
     ServiceEntry &Entry = *ServiceEntries[Index];
     auto Drained = std::make_shared<std::promise<void>>();
     std::future<void> Finished = Drained->get_future();
-    Entry.Owner->post([&Entry, Drained, Deadline] {
-      Entry.Drain([Drained] { Drained->set_value(); }, Deadline);
+    Entry.Owner->post([&Entry, Drained] {
+      Entry.Drain([Drained] { Drained->set_value(); });
     });
     const bool IsDrained =
         Finished.wait_until(Deadline) == std::future_status::ready;
@@ -152,6 +159,7 @@
   NewEntry->Owner = &Owner;
   NewEntry->Dependencies = Dependencies;
   NewEntry->Start = std::move(Hooks.Start);
+  NewEntry->PrepareStop = std::move(Hooks.PrepareStop);
   NewEntry->Drain = std::move(Hooks.Drain);
   NewEntry->Stop = std::move(Hooks.Stop);
   Result->ServiceEntries.push_back(std::move(NewEntry));
--- a/Source/Core/Kernel/Host.h
+++ b/Source/Core/Kernel/Host.h
@@ -34,13 +34,12 @@
   Instance.drain(std::move(Done));
 };
 
-// A draining service that has to know when the host stops, whether or not the
-// services have drained by then.
+// A service that has to know when the host stops, whether or not the services
+// have drained by then. It is told before the first service drains.
 template <class S>
-concept DeadlineDrainingService = requires(S &Instance,
-                                           std::function<void()> Done,
-                                           Common::SteadyTime Deadline) {
-  Instance.drain(std::move(Done), Deadline);
+concept StopPreparingService = requires(S &Instance,
+                                        Common::SteadyTime Deadline) {
+  Instance.prepareStop(Deadline);
 };
 
 // Runs the tasks and their services. Services start after their dependencies
@@ -59,7 +58,8 @@
       const std::function<void()> &OnReload = [] {},
       const std::function<void()> &OnIdle = [] {},
       Common::Duration IdleInterval = Common::Duration::zero());
-  // Drains all services within Timeout in total, then stops them.
+  // Tells the services when the host stops, drains all of them within Timeout
+  // in total, then stops them.
   void stop(Common::Duration Timeout);
 
   Registry &services();
@@ -104,7 +104,8 @@
 private:
   struct ServiceHooks {
     std::function<void()> Start;
-    std::function<void(std::function<void()>, Common::SteadyTime)> Drain;
+    std::function<void(Common::SteadyTime)> PrepareStop;
+    std::function<void(std::function<void()>)> Drain;
     std::function<void()> Stop;
   };
 
@@ -140,11 +141,12 @@
     for (; QueuedCount > 0; --QueuedCount)
       Owner.post([Inbox] { Inbox->deliverOne(); });
   };
-  Hooks.Drain = [Instance](std::function<void()> Done,
-                           [[maybe_unused]] Common::SteadyTime Deadline) {
-    if constexpr (DeadlineDrainingService<S>)
-      (*Instance)->drain(std::move(Done), Deadline);
-    else if constexpr (DrainingService<S>)
+  if constexpr (StopPreparingService<S>)
+    Hooks.PrepareStop = [Instance](Common::SteadyTime Deadline) {
+      (*Instance)->prepareStop(Deadline);
+    };
+  Hooks.Drain = [Instance](std::function<void()> Done) {
+    if constexpr (DrainingService<S>)
       (*Instance)->drain(std::move(Done));
     else
       Done();
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -52,6 +52,18 @@
     shareLoad();
   }
 
+  // Refuses the calls that may outlast this node, also those that wait for a
+  // slot: their callers can still send them to other servers.
+  void prepareStop(Common::SteadyTime Deadline) {
+    StopsAt = Deadline - ReplyTime;
+    std::vector<Admission::QueuedCallId> MayOutlast;
+    for (const auto &[Id, Call] : Calls)
+      if (mayOutlastNode(Call) && Queue.withdraw(Id))
+        MayOutlast.push_back(Id);
+    for (const Admission::QueuedCallId Id : MayOutlast)
+      refuse(Id, Common::ResultCode::Draining);
+  }
+
   // Completes the admitted calls; new ones are refused as not run.
   void drain(std::function<void()> Done) {
     spdlog::info("event=refusing-attempts open-attempts={}", Calls.size());
@@ -85,6 +97,9 @@
   // How long after the deadline the server may still report by itself that the
   // deadline has passed.
   static constexpr Common::Millis ServerSlack{30};
+  // Leaves time to send the last replies before the node stops, and to answer
+  // the calls that the server makes while it runs the last ones.
+  static constexpr Common::Millis ReplyTime{400};
   // Interval of reports about a watched server.
   static constexpr Common::Millis WatchInterval{250};
   // Number of calls over which the share of failed calls is smoothed.
@@ -128,7 +143,7 @@
       refuse(Id, Common::ResultCode::ServiceUnknown);
       return;
     }
-    if (Watch.isClosed()) {
+    if (Watch.isClosed() || mayOutlastNode(Opened)) {
       refuse(Id, Common::ResultCode::Draining);
       return;
     }
@@ -153,6 +168,10 @@
         now()));
   }
 
+  bool mayOutlastNode(const OpenCall &Call) const {
+    return StopsAt && Call.Deadline > *StopsAt;
+  }
+
   void onMessage(CancelArrived &Event) {
     cancel(AttemptKey(Event.Origin, Event.Attempt));
   }
@@ -401,6 +420,8 @@
   std::map<AttemptKey, Admission::QueuedCallId> CallIds;
   Admission::QueuedCallId NextId = 1;
   std::optional<Kernel::TimerId> Timer;
+  // Set when the node begins to stop.
+  std::optional<Common::SteadyTime> StopsAt;
   std::function<void()> OnDrained;
 };
 
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -79,11 +79,15 @@
     armTimer();
   }
 
+  // Refuses the calls that may be open for longer than the node runs.
+  void prepareStop(Common::SteadyTime Deadline) {
+    Calls.stopAt(Deadline - WriteOutTime);
+  }
+
   // Answers every open call before the node stops. New calls are still accepted
   // for ServeOnLimit, since some callers have not yet noticed that the node
-  // leaves, unless they may be open for longer than the node runs.
-  void drain(std::function<void()> Done, Common::SteadyTime Deadline) {
-    Calls.stopAt(Deadline - WriteOutTime);
+  // leaves.
+  void drain(std::function<void()> Done) {
     Listener->drainConnections();
     OnDrained = std::move(Done);
     if (Settings.ServeOnLimit.count() == 0)
--- a/Source/UnitTests/Kernel/HostTests.cpp
+++ b/Source/UnitTests/Kernel/HostTests.cpp
@@ -143,30 +143,67 @@
   BOOST_TEST(Calls == 3);
 }
 
-BOOST_AUTO_TEST_CASE(TellsDrainingServicesWhenTheHostStops) {
-  std::optional<Common::SteadyTime> Deadline;
-  struct Draining {
-    using Message = int;
-    std::optional<Common::SteadyTime> &Deadline;
-    void start() {}
-    void handle(int) {}
-    void stop() {}
-    void drain(const std::function<void()> &Done, Common::SteadyTime StopsAt) {
-      Deadline = StopsAt;
-      Done();
-    }
+namespace {
+
+// Records when the host stops, and in which order it is told.
+class PreparedService {
+public:
+  using Message = int;
+  struct Record {
+    Trace Events;
+    std::vector<Common::SteadyTime> Deadlines;
   };
+
+  PreparedService(Record &Seen, std::string Name)
+      : Seen(Seen), Name(std::move(Name)) {}
+
+  void start() {}
+  void handle(int) {}
+  void prepareStop(Common::SteadyTime Deadline) {
+    Seen.Events.push_back("prepare " + Name);
+    Seen.Deadlines.push_back(Deadline);
+  }
+  void drain(const std::function<void()> &Done) {
+    Seen.Events.push_back("drain " + Name);
+    Done();
+  }
+  void stop() {}
+
+private:
+  Record &Seen;
+  std::string Name;
+};
+
+} // namespace
+
+// Guards against a service that takes work which cannot end before the host
+// stops, because the drains of other services come first.
+BOOST_AUTO_TEST_CASE(TellsAllServicesWhenTheHostStopsBeforeTheFirstDrain) {
+  PreparedService::Record Seen;
   Kernel::HostBuilder Builder;
-  Builder.task("t");
-  Builder.service<Draining>("d", "t", {}, [&Deadline](Kernel::Context) {
-    return std::make_unique<Draining>(Draining{Deadline});
-  });
+  Builder.task("t").task("u");
+  const auto Add = [&](const std::string &Name, const std::string &TaskName,
+                       const std::vector<std::string> &Dependencies) {
+    Builder.service<PreparedService>(
+        Name, TaskName, Dependencies, [&Seen, Name](Kernel::Context) {
+          return std::make_unique<PreparedService>(Seen, Name);
+        });
+  };
+  Add("base", "t", {});
+  Add("top", "u", {"base"});
   Kernel::Host Running = Builder.build();
   Running.start();
   const auto Before = std::chrono::steady_clock::now();
   Running.stop(Common::Millis(1000));
-  BOOST_REQUIRE(Deadline.has_value());
-  BOOST_TEST((*Deadline >= Before + Common::Millis(1000)));
+  const auto After = std::chrono::steady_clock::now();
+  const Trace Expected = {"prepare top", "prepare base", "drain top",
+                          "drain base"};
+  BOOST_TEST(Seen.Events == Expected, boost::test_tools::per_element());
+  BOOST_REQUIRE(Seen.Deadlines.size() == 2U);
+  for (const Common::SteadyTime Deadline : Seen.Deadlines) {
+    BOOST_TEST((Deadline >= Before + Common::Millis(1000)));
+    BOOST_TEST((Deadline <= After + Common::Millis(1000)));
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Node/BackendServiceTests.cpp
+++ b/Source/UnitTests/Node/BackendServiceTests.cpp
@@ -245,6 +245,41 @@
   waitFor([&] { return OpenExchanges.size() == 2; });
 }
 
+// Guards against a planned stop that cuts a call of another node, which this
+// node took although the call could outlast it.
+BOOST_FIXTURE_TEST_CASE(PlannedStopTakesOnlyCallsOfOtherNodesThatCanEnd,
+                        Fixture) {
+  Worker.runAndWait([&] {
+    Tested->prepareStop(std::chrono::steady_clock::now() +
+                        Common::Millis(3000));
+  });
+  request(1, false, "s", Common::Millis(3000));
+  BOOST_TEST(reply(0).Attempt == 1);
+  BOOST_TEST((reply(0).Result == Common::ResultCode::Draining));
+  request(2, false, "s", Common::Millis(1000));
+  waitFor([&] { return OpenExchanges.size() == 1; });
+}
+
+// The same for calls that wait for a slot when the node begins to stop.
+BOOST_FIXTURE_TEST_CASE(PlannedStopSendsBackWaitingCallsThatMayOutlastIt,
+                        Fixture) {
+  request(1, false, "s", Common::Millis(5000));
+  waitFor([&] { return OpenExchanges.size() == 1; });
+  request(2, false, "s", Common::Millis(5000));
+  request(3, false, "s", Common::Millis(1000));
+  Worker.runAndWait([&] {
+    Tested->prepareStop(std::chrono::steady_clock::now() +
+                        Common::Millis(3000));
+  });
+  BOOST_TEST(reply(0).Attempt == 2);
+  BOOST_TEST((reply(0).Result == Common::ResultCode::Draining));
+  Worker.runAndWait([&] {
+    Server->respond(OpenExchanges[0], {200, {}, "whole"});
+  });
+  BOOST_TEST(reply(1).Body == "whole");
+  waitFor([&] { return OpenExchanges.size() == 2; });
+}
+
 BOOST_FIXTURE_TEST_CASE(DrainWaitsForRunningCalls, Fixture) {
   request(1, false);
   waitFor([&] { return OpenExchanges.size() == 1; });
--- a/Source/UnitTests/Node/IngressServiceTests.cpp
+++ b/Source/UnitTests/Node/IngressServiceTests.cpp
@@ -83,7 +83,8 @@
 // were still running when the node ended.
 BOOST_FIXTURE_TEST_CASE(PlannedStopAcceptsOnlyCallsThatItCanAnswer, Fixture) {
   Worker.runAndWait([this] {
-    Tested->drain([] {}, std::chrono::steady_clock::now() + Millis(3000));
+    Tested->prepareStop(std::chrono::steady_clock::now() + Millis(3000));
+    Tested->drain([] {});
   });
   UnitTests::RawSocket Long(Settings.CallPort);
   Long.send(request("/long"));
