--- a/Source/UnitTests/Node/IngressServiceTests.cpp
+++ b/Source/UnitTests/Node/IngressServiceTests.cpp
@@ -131,8 +131,8 @@
   });
   std::atomic<bool> Done = false;
   Worker.runAndWait([&] {
-    Tested->drain([&] { Done = true; },
-                  std::chrono::steady_clock::now() + Millis(8000));
+    Tested->prepareStop(std::chrono::steady_clock::now() + Millis(8000));
+    Tested->drain([&] { Done = true; });
     Routing::CallReply Reply;
     Reply.Attempt = std::get<Node::SendRequest>(ToPeers[0]).Request.Attempt;
     Reply.HttpStatus = 200;
