Drain the server side of a node before its ingress

Callers of other nodes got 500 for a call that ran beside a stopping node: the backend server calls others through that node while it runs a call, and the ingress drained first, so that those calls got 503 or no connection.

The backend service now depends on the ingress and drains before it: it admits calls for serve-on-limit, which used to be the time of the ingress, refuses later ones and completes the others. So its admission also ends at a fixed time, no longer when the node's own callers have no call left. Only then does the ingress refuse new calls and stop listening; until then it refuses only those that may outlast the process. Each response closes its connection from leave-delay on, as before. Without serve-on-limit, admission ends with leave-delay, so that the ingress takes calls for as long as the longest running call of the server at most.

Members depend on the backend service, which they did by the order of declaration only.

PlannedStopAcceptsOnlyCallsThatItCanAnswer no longer drains, as the ingress takes calls between prepareStop and drain; its checks are the same.

--- a/Source/Core/Kernel/Host.cpp
+++ b/Source/Core/Kernel/Host.cpp
@@ -42,6 +42,13 @@
 
 Registry &Host::services() { return *Services; }
 
+std::vector<std::string> Host::startOrder() const {
+  std::vector<std::string> Names;
+  for (const auto &Entry : ServiceEntries)
+    Names.push_back(Entry->Name);
+  return Names;
+}
+
 void Host::start() {
   for (const auto &[Name, Worker] : Tasks)
     Worker->spawn();
--- a/Source/Core/Kernel/Host.h
+++ b/Source/Core/Kernel/Host.h
@@ -63,6 +63,8 @@
   void stop(Common::Duration Timeout);
 
   Registry &services();
+  // The names of the services in the order in which they start.
+  std::vector<std::string> startOrder() const;
 
 private:
   friend class HostBuilder;
--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -64,12 +64,15 @@
       refuse(Id, Common::ResultCode::Draining);
   }
 
-  // Completes the admitted calls; new ones are refused as not run.
+  // Completes the admitted calls. Calls are still admitted for ServeOnLimit,
+  // since some nodes have not yet noticed that this one leaves; later ones are
+  // refused as not run.
   void drain(std::function<void()> Done) {
-    spdlog::info("event=refusing-attempts open-attempts={}", Calls.size());
-    Queue.close();
     OnDrained = std::move(Done);
-    finishDrainIfIdle();
+    if (Settings.ServeOnLimit.count() == 0)
+      refuseNewCalls();
+    else
+      Clock.after(Settings.ServeOnLimit, [this] { refuseNewCalls(); });
   }
 
   void stop() {
@@ -218,6 +221,13 @@
     Clock.after(WatchInterval, [this] { reportWatched(); });
   }
 
+  void refuseNewCalls() {
+    spdlog::info("event=refusing-attempts open-attempts={}", Calls.size());
+    IsClosed = true;
+    Queue.close();
+    finishDrainIfIdle();
+  }
+
   void cancel(const AttemptKey &Key) {
     const auto Found = CallIds.find(Key);
     if (Found == CallIds.end())
@@ -393,7 +403,7 @@
   }
 
   void finishDrainIfIdle() {
-    if (OnDrained && Queue.isIdle())
+    if (OnDrained && IsClosed && Queue.isIdle())
       // Leaves the sockets time to write out the last replies.
       Clock.after(Common::Millis(200), std::exchange(OnDrained, nullptr));
   }
@@ -422,6 +432,8 @@
   std::optional<Kernel::TimerId> Timer;
   // Set when the node begins to stop.
   std::optional<Common::SteadyTime> StopsAt;
+  // Whether every new call is refused.
+  bool IsClosed = false;
   std::function<void()> OnDrained;
 };
 
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -79,21 +79,19 @@
     armTimer();
   }
 
-  // Refuses the calls that may be open for longer than the node runs.
+  // Refuses the calls that may be open for longer than the node runs. The other
+  // calls are accepted until the server side has drained: some callers have not
+  // yet noticed that the node leaves, and the backend server makes calls while
+  // it runs one.
   void prepareStop(Common::SteadyTime Deadline) {
     Calls.stopAt(Deadline - WriteOutTime);
+    Clock.after(Settings.LeaveDelay, [this] { Listener->drainConnections(); });
   }
 
-  // Answers every open call before the node stops. New calls are still accepted
-  // for ServeOnLimit, since some callers have not yet noticed that the node
-  // leaves.
+  // Answers every open call before the node stops; new calls are refused.
   void drain(std::function<void()> Done) {
-    Listener->drainConnections();
     OnDrained = std::move(Done);
-    if (Settings.ServeOnLimit.count() == 0)
-      refuseNewCalls();
-    else
-      Clock.after(Settings.ServeOnLimit, [this] { refuseNewCalls(); });
+    refuseNewCalls();
   }
 
   void stop() {
@@ -194,6 +192,7 @@
     spdlog::info("event=refusing-calls open-calls={} open-requests={}",
                  Calls.openCalls(), Listener->openExchanges());
     Draining = true;
+    Listener->drainConnections();
     Listener->stopListening();
     finishDrainIfIdle();
   }
--- a/Source/Core/Node/NodeBuilder.cpp
+++ b/Source/Core/Node/NodeBuilder.cpp
@@ -47,7 +47,7 @@
 void addIngress(Kernel::HostBuilder &Builder, const NodeSettings &Settings,
                 Policy Choice) {
   Builder.service<Ingress<Policy>>(
-      IngressName, CallTask, {PeersName, BackendName, ClaimsName},
+      IngressName, CallTask, {PeersName, ClaimsName},
       [Settings, Choice](Kernel::Context Context) {
         return std::make_unique<Ingress<Policy>>(
             Context, Settings, Choice,
@@ -81,7 +81,8 @@
 void addBackend(Kernel::HostBuilder &Builder, const NodeSettings &Settings) {
   using BackendTask = BackendService<PeersAddress, Order>;
   Builder.service<BackendTask>(
-      BackendName, CallTask, {PeersName}, [Settings](Kernel::Context Context) {
+      BackendName, CallTask, {PeersName, IngressName},
+      [Settings](Kernel::Context Context) {
         return std::make_unique<BackendTask>(
             Context, Settings, [&Services = Context.Services] {
               return Services.find<PeersMessage>(PeersName);
@@ -102,8 +103,9 @@
   const NodeSettings SettingsCopy = Settings;
 
   // Each service stops before those that it depends on: the members service
-  // announces that the node leaves, then the ingress and finally the backend
-  // service finish their calls.
+  // announces that the node leaves, then the backend service finishes its
+  // calls, for which the backend server may call through the ingress, and
+  // finally the ingress finishes its own.
   Builder.service<PeersTask>(
       PeersName, CallTask, {}, [SettingsCopy](Kernel::Context Context) {
         return std::make_unique<PeersTask>(
@@ -170,7 +172,8 @@
                 Context.Services.find<ControlMessage>(ControlName)});
       });
   Builder.service<MembersTask>(
-      MembersName, ControlTask, {IngressName, AdminName, ClaimsName},
+      MembersName, ControlTask,
+      {IngressName, BackendName, AdminName, ClaimsName},
       [SettingsCopy](Kernel::Context Context) {
         return std::make_unique<MembersTask>(
             Context, SettingsCopy, [&Services = Context.Services] {
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -159,7 +159,7 @@
       {"members", "drain-limit", SettingType::Time, "1h", Second,
        86400 * Second, "maximum time that a stop waits for running calls"},
       {"members", "serve-on-limit", SettingType::Time, "0ms", 0, 3600 * Second,
-       "how long new calls are still accepted after a stop signal"},
+       "how long new calls are still admitted to the server after leave-delay"},
       {"control", "port", SettingType::Integer, "0", 0, MaxPort,
        "TCP port for configuration and claims between nodes"},
       {"admin", "port", SettingType::Integer, "0", 0, MaxPort,
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -60,7 +60,7 @@
   Common::Micros AnnouncementLimit{0};
   Common::Micros LeaveDelay{0};
   Common::Micros DrainLimit{0};
-  // How long new calls are still accepted after a stop signal.
+  // How long new calls are still admitted to the server after LeaveDelay.
   Common::Micros ServeOnLimit{0};
   std::string LogUrl;
   std::string LogStream;
--- a/Source/UnitTests/Node/BackendServiceTests.cpp
+++ b/Source/UnitTests/Node/BackendServiceTests.cpp
@@ -22,16 +22,16 @@
   std::unique_ptr<Http::Server> Server;
   std::unique_ptr<Node::BackendService<Sink>> Tested;
 
-  Fixture() {
+  explicit Fixture(const Node::NodeSettings &Settings = {}) {
     Worker.spawn();
-    Worker.runAndWait([this] {
+    Worker.runAndWait([&] {
       Server = Http::ServerBuilder(Worker)
                    .onRequest([this](Http::ExchangeId Id, const auto &) {
                      OpenExchanges.push_back(Id);
                    })
                    .build();
       Tested = std::make_unique<Node::BackendService<Sink>>(
-          Kernel::Context{Worker, Names}, Node::NodeSettings(),
+          Kernel::Context{Worker, Names}, Settings,
           [this] { return Sink(Sent); });
       Tested->start();
       Tested->handle(
@@ -295,4 +295,52 @@
   waitFor([&] { return Drained; });
 }
 
+namespace {
+
+struct ServeOnFixture : Fixture {
+  static constexpr Common::Millis ServeOnLimit{300};
+
+  ServeOnFixture() : Fixture(settings()) {}
+
+  static Node::NodeSettings settings() {
+    Node::NodeSettings Result;
+    Result.ServeOnLimit = ServeOnLimit;
+    return Result;
+  }
+};
+
+} // namespace
+
+// Guards against a server-side node that keeps admitting calls for as long as
+// its own callers have some: admission ends after a fixed time.
+BOOST_FIXTURE_TEST_CASE(DrainAdmitsCallsForServeOnLimitOnly, ServeOnFixture) {
+  std::optional<Common::SteadyTime> DrainedAt;
+  const Common::SteadyTime Start = std::chrono::steady_clock::now();
+  Worker.runAndWait([&] {
+    Tested->drain([&] { DrainedAt = std::chrono::steady_clock::now(); });
+  });
+  request(1, false);
+  waitFor([&] { return OpenExchanges.size() == 1; });
+  std::this_thread::sleep_until(Start + ServeOnLimit + Common::Millis(100));
+  request(2, false);
+  BOOST_TEST(reply(0).Attempt == 2);
+  BOOST_TEST((reply(0).Result == Common::ResultCode::Draining));
+  Worker.runAndWait([&] {
+    BOOST_TEST(!DrainedAt.has_value());
+    Server->respond(OpenExchanges[0], {200, {}, "whole"});
+  });
+  BOOST_TEST(reply(1).Body == "whole");
+  waitFor([&] { return DrainedAt.has_value(); });
+}
+
+BOOST_FIXTURE_TEST_CASE(IdleDrainLastsForServeOnLimit, ServeOnFixture) {
+  std::optional<Common::SteadyTime> DrainedAt;
+  const Common::SteadyTime Start = std::chrono::steady_clock::now();
+  Worker.runAndWait([&] {
+    Tested->drain([&] { DrainedAt = std::chrono::steady_clock::now(); });
+  });
+  waitFor([&] { return DrainedAt.has_value(); });
+  BOOST_TEST((*DrainedAt - Start >= ServeOnLimit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Node/IngressServiceTests.cpp
+++ b/Source/UnitTests/Node/IngressServiceTests.cpp
@@ -30,7 +30,6 @@
     Settings.CallAddress = "127.0.0.1";
     Settings.OpenCallLimit = 100;
     Settings.BodyLimit = 1000;
-    Settings.ServeOnLimit = Millis(60'000);
     Settings.Quota = {std::chrono::seconds(5), 0.1, 20};
     Worker.runAndWait([this] {
       Settings.CallPort =
@@ -84,7 +83,6 @@
 BOOST_FIXTURE_TEST_CASE(PlannedStopAcceptsOnlyCallsThatItCanAnswer, Fixture) {
   Worker.runAndWait([this] {
     Tested->prepareStop(std::chrono::steady_clock::now() + Millis(3000));
-    Tested->drain([] {});
   });
   UnitTests::RawSocket Long(Settings.CallPort);
   Long.send(request("/long"));
@@ -96,6 +94,32 @@
   BOOST_TEST(passedOn() == 1U);
 }
 
+// Guards against a planned stop that takes calls without end: when the server
+// side has drained, nothing needs the ingress any more.
+BOOST_FIXTURE_TEST_CASE(RefusesNewCallsOnceItDrains, Fixture) {
+  UnitTests::RawSocket Open(Settings.CallPort);
+  Open.send(request("/short"));
+  BOOST_TEST(Open.readUntil("\r\n\r\n", Millis(200)).empty());
+  UnitTests::RawSocket Idle(Settings.CallPort);
+  bool Drained = false;
+  Worker.runAndWait([&] {
+    Tested->prepareStop(std::chrono::steady_clock::now() + Millis(3000));
+    Tested->drain([&] { Drained = true; });
+  });
+  Idle.send(request("/short"));
+  BOOST_TEST(Idle.readUntil("\r\n\r\n").find(" 200 ") == std::string::npos);
+  BOOST_TEST(passedOn() == 1U);
+  // The call that was open ends at its deadline, and the drain with it.
+  BOOST_TEST(Open.readUntil("\r\n\r\n").find(" 504 ") != std::string::npos);
+  const auto End = std::chrono::steady_clock::now() + Millis(2000);
+  bool IsDrained = false;
+  while (!IsDrained && std::chrono::steady_clock::now() < End) {
+    Worker.runAndWait([&] { IsDrained = Drained; });
+    std::this_thread::sleep_for(Millis(1));
+  }
+  BOOST_TEST(IsDrained);
+}
+
 namespace {
 
 // The same node with a set that has a tenant with a quota.
