Send the replies to other nodes whole before a planned stop ends

Callers of other nodes could get 502 for a call that a server had answered: a stopping node waited 0.2 s after its last call, then closed its connections with whatever was unsent, and a close with unread bytes resets the connection.

The fixed wait of the backend service goes.

With a drain that does nothing:

PeersServices/DrainSendsTheRepliesWhole: check !isDrained(Millis(700)) has failed; check Reader.isClosed() has failed PeersServices/DrainWaitsBrieflyForNodesThatHaveTheirReplies: check Reader.isClosed() has failed

A request that crosses the shutdown is discarded unread, and its caller still takes it for one that may have run, as before.

--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -404,8 +404,7 @@
 
   void finishDrainIfIdle() {
     if (OnDrained && IsClosed && Queue.isIdle())
-      // Leaves the sockets time to write out the last replies.
-      Clock.after(Common::Millis(200), std::exchange(OnDrained, nullptr));
+      std::exchange(OnDrained, nullptr)();
   }
 
   Kernel::Task &Task;
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -9,6 +10,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 
 #include <spdlog/spdlog.h>
 
@@ -58,6 +60,18 @@
     std::visit([this](auto &Command) { this->onMessage(Command); }, Content);
   }
 
+  // Sends the replies that are left and ends the connections of the other nodes
+  // in order. Closing a socket with unread bytes resets the connection, which
+  // can discard a reply on its way.
+  void drain(std::function<void()> Done) {
+    OnDrained = std::move(Done);
+    DrainBegan = now();
+    Listener.reset();
+    for (auto &[Origin, Connection] : Inbound)
+      Connection.Socket->closeGracefully();
+    finishDrainIfSent();
+  }
+
   void stop() {
     for (const auto &[Address, Connection] : Outbound)
       if (!Connection.PendingAttempts.empty())
@@ -76,6 +90,9 @@
 
 private:
   static constexpr Common::Millis TickInterval{100};
+  // How long a drain waits for other nodes that have received all replies to
+  // close their connections.
+  static constexpr Common::Millis CloseLimit{200};
   static constexpr int MaxMissedIdleEchoes = 3;
 
   struct OutboundConnection {
@@ -273,6 +290,17 @@
     Targets.ToIngress.post(ReplyArrived{std::move(Refused)});
   }
 
+  void finishDrainIfSent() {
+    if (!OnDrained)
+      return;
+    const bool IsSent =
+        std::all_of(Inbound.begin(), Inbound.end(), [](const auto &Entry) {
+          return Entry.second.Socket->unsentBytes() == 0;
+        });
+    if (Inbound.empty() || (IsSent && now() - DrainBegan >= CloseLimit))
+      std::exchange(OnDrained, nullptr)();
+  }
+
   void accept(const Adopter &Adopt) {
     const OriginId Origin = NextOrigin++;
     Wire::FrameSocket::Events Events;
@@ -291,6 +319,7 @@
                  Origin, Reason);
     const auto Lost = Inbound.extract(Origin);
     Targets.ToBackend.post(OriginLost{Origin});
+    finishDrainIfSent();
   }
 
   void handleInboundFrame(OriginId Origin, std::string_view Bytes) {
@@ -323,6 +352,7 @@
     checkOutbound();
     checkInbound();
     checkDataCentres();
+    finishDrainIfSent();
   }
 
   void recordSignOfLife(const std::string &DataCentre) {
@@ -463,6 +493,8 @@
   ShareLoad LatestLoad;
   Common::SteadyTime LastInboundCheck = now();
   OriginId NextOrigin = LocalOrigin + 1;
+  Common::SteadyTime DrainBegan;
+  std::function<void()> OnDrained;
 };
 
 } // namespace Node
--- a/Source/Core/Wire/FrameSocket.cpp
+++ b/Source/Core/Wire/FrameSocket.cpp
@@ -106,6 +106,8 @@
   Self->Stream->write(Content);
 }
 
+void FrameSocket::closeGracefully() { Self->Stream->closeGracefully(); }
+
 bool FrameSocket::isConnected() const { return Self->Stream->isConnected(); }
 
 std::size_t FrameSocket::unsentBytes() const {
--- a/Source/Core/Wire/FrameSocket.h
+++ b/Source/Core/Wire/FrameSocket.h
@@ -40,6 +40,9 @@
 
   // Queues frames until the connection is established.
   void send(std::string_view Content);
+  // Sends the remaining frames and then shuts the connection down in order.
+  // Frames that are received later are discarded.
+  void closeGracefully();
   bool isConnected() const;
   std::size_t unsentBytes() const;
 
--- a/Source/UnitTests/Node/PeersServiceTests.cpp
+++ b/Source/UnitTests/Node/PeersServiceTests.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/ScopeGuard.h"
 #include "Node/PeersService.h"
+#include "UnitTests/RawSocket.h"
 #include "UnitTests/RecordingSink.h"
 
 BOOST_AUTO_TEST_SUITE(PeersServices)
@@ -254,4 +255,75 @@
   BOOST_TEST(waitFor<Node::ReplyArrived>(ToIngress, 0).Reply.Attempt == 1);
 }
 
+namespace {
+
+// A node that reads replies only when it is told to.
+struct SlowReaderFixture : Fixture {
+  UnitTests::RawSocket Reader{ServerPort};
+  bool Drained = false;
+
+  // Sends a request and answers it with a body of this size.
+  void exchange(std::size_t BodyBytes) {
+    Routing::CallRequest Request;
+    Request.Attempt = 1;
+    const std::string Frame = Wire::encodeFrame(Request);
+    std::string Length;
+    for (int Shift = 24; Shift >= 0; Shift -= 8)
+      Length.push_back(static_cast<char>(Frame.size() >> Shift & 0xff));
+    Reader.send(Length + Frame);
+    const auto Arrived = waitFor<Node::RequestArrived>(ToBackend, 0);
+    Worker.runAndWait([&] {
+      Routing::CallReply Reply;
+      Reply.Attempt = 1;
+      Reply.Body.assign(BodyBytes, 'x');
+      ServerSide->handle(Node::SendReply{Arrived.Origin, Reply});
+    });
+  }
+  void drain() {
+    Worker.runAndWait([&] { ServerSide->drain([&] { Drained = true; }); });
+  }
+  bool isDrained(Millis Timeout) {
+    const auto End = std::chrono::steady_clock::now() + Timeout;
+    bool Result = false;
+    while (!Result && std::chrono::steady_clock::now() < End) {
+      Worker.runAndWait([&] { Result = Drained; });
+      std::this_thread::sleep_for(Millis(1));
+    }
+    return Result;
+  }
+};
+
+} // namespace
+
+// Guards against replies to other nodes that a planned stop cuts: the node
+// ended a fixed time after its last call, whatever was left to send.
+BOOST_FIXTURE_TEST_CASE(DrainSendsTheRepliesWhole, SlowReaderFixture) {
+  constexpr std::size_t BodyBytes = 7'000'000;
+  exchange(BodyBytes);
+  drain();
+  BOOST_TEST(!isDrained(Millis(700)));
+  BOOST_TEST(Reader.isClosed());
+  BOOST_TEST(Reader.readUntil("").size() > BodyBytes);
+  Reader.close();
+  BOOST_TEST(isDrained(Millis(2000)));
+}
+
+// A node that takes no notice of the end of the connection delays the stop only
+// briefly.
+BOOST_FIXTURE_TEST_CASE(DrainWaitsBrieflyForNodesThatHaveTheirReplies,
+                        SlowReaderFixture) {
+  exchange(100);
+  drain();
+  BOOST_TEST(isDrained(Millis(1000)));
+  BOOST_TEST(Reader.isClosed());
+}
+
+BOOST_FIXTURE_TEST_CASE(DrainWithoutConnectionsEndsAtOnce, Fixture) {
+  bool Drained = false;
+  Worker.runAndWait([&] {
+    ServerSide->drain([&] { Drained = true; });
+    BOOST_TEST(Drained);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
