Accept waiting connections before a listener closes

Callers that had just connected were reset when a node stopped listening: closing the socket resets what waits in its accept queue, also connections whose whole request has arrived. The queue is not empty when the task is late.

EdgeServer::stopListening() accepts what waits first. A request among it is answered; a connection without one is closed in order.

StopAnswersAConnectionThatWaitsToBeAccepted failed before: check New->readUntil("done /1").find("done /1") != npos has failed

--- a/Source/Core/Http/EdgeClosing.cpp
+++ b/Source/Core/Http/EdgeClosing.cpp
@@ -230,6 +230,8 @@
 void EdgeServer::drainConnections() { Self->Draining = true; }
 
 void EdgeServer::stopListening() {
+  if (Self->Listener)
+    Self->Listener->acceptWaiting();
   Self->Listener.reset();
   Self->closeIdle();
 }
--- a/Source/Core/Net/Listener.cpp
+++ b/Source/Core/Net/Listener.cpp
@@ -61,6 +61,8 @@
   Self->Acceptor.close();
 }
 
+void Listener::acceptWaiting() { Self->acceptAll(); }
+
 int Listener::port() const { return Self->Port; }
 
 } // namespace Net
--- a/Source/Core/Net/Listener.h
+++ b/Source/Core/Net/Listener.h
@@ -27,6 +27,8 @@
   Listener &operator=(const Listener &) = delete;
 
   int port() const;
+  // Accepts the connections that are waiting. Closing a listener resets them.
+  void acceptWaiting();
 
 private:
   struct Impl;
--- a/Source/UnitTests/Http/EdgeClosingTests.cpp
+++ b/Source/UnitTests/Http/EdgeClosingTests.cpp
@@ -121,6 +121,20 @@
   BOOST_TEST(waitFor([this] { return Finished == 1; }));
 }
 
+// Closing a listener resets the connections in its accept queue.
+BOOST_FIXTURE_TEST_CASE(StopAnswersAConnectionThatWaitsToBeAccepted, Fixture) {
+  std::optional<RawSocket> New;
+  Worker.runAndWait([&] {
+    New.emplace(Port);
+    New->send(request("/1"));
+    std::this_thread::sleep_for(Millis(20));
+    Server->finish([this] { ++Finished; });
+  });
+  BOOST_TEST(New->readUntil("done /1").find("done /1") != std::string::npos);
+  BOOST_TEST(New->isClosed());
+  BOOST_TEST(waitFor([this] { return Finished == 1; }));
+}
+
 BOOST_FIXTURE_TEST_CASE(StopAnswersPipelinedRequestsThatWereReceived, Fixture) {
   RawSocket Caller(Port);
   Caller.send("POST /hold HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n" +
