Refuse uploads that still arrive when a node stops

A caller whose request was incomplete when its node stopped got a reset, or a close without a response: nothing ended such a request before the listener was destroyed. It may not know whether its request ran.

EdgeServer::stopListening() answers incomplete requests with 503, as complete ones would be, and the caller's further bytes are discarded until it closes or the linger timeout has passed, so that no reset destroys the 503. finish() waits for this.

StopRefusesAnUploadThatStillArrives failed before: event=connection-cut incomplete-request=true reason="the server stops" check Caller.readUntil("\r\n\r\n").rfind("HTTP/1.1 503", 0) == 0 has failed

--- a/Source/Core/Http/EdgeClosing.cpp
+++ b/Source/Core/Http/EdgeClosing.cpp
@@ -107,6 +107,7 @@
     Reply.Fields["retry-after"] = RetryAfterSeconds;
   Peer.Stream->write(encodeResponse(Reply, false, false));
   close(Peer);
+  Peer.Rejected = true;
   Peer.RequestParser.reset();
   Peer.HeldBytes = 0;
   Peer.Held.reset();
@@ -197,22 +198,25 @@
   continueFinish();
 }
 
-void EdgeServer::Impl::closeIdle() {
+// Ends the connections that no request keeps open.
+void EdgeServer::Impl::endWaiting() {
   for (auto &[Id, Open] : Connections)
     if (isIdle(Open))
       close(Open);
+    else if (Open.State == Phase::Reading)
+      reject(Id, Open, ServiceUnavailable);
 }
 
-// Closes what has become idle. Reports that the server has finished when all
-// responses are sent.
+// Ends what no request keeps open any more. Reports that the server has
+// finished when all responses are sent.
 void EdgeServer::Impl::continueFinish() {
   if (!OnFinished)
     return;
-  closeIdle();
+  endWaiting();
   const bool MustWait = std::any_of(
       Connections.begin(), Connections.end(), [](const auto &Entry) {
         const Connection &Peer = Entry.second;
-        return Peer.State == Phase::Idle || Peer.State == Phase::Responding ||
+        return Peer.State != Phase::Closing || Peer.Rejected ||
                Peer.Stream->unsentBytes() > 0;
       });
   if (MustWait || (FinishTimer && !Connections.empty()))
@@ -233,7 +237,7 @@
   if (Self->Listener)
     Self->Listener->acceptWaiting();
   Self->Listener.reset();
-  Self->closeIdle();
+  Self->endWaiting();
 }
 
 void EdgeServer::finish(std::function<void()> OnFinished) {
--- a/Source/Core/Http/EdgeConnection.h
+++ b/Source/Core/Http/EdgeConnection.h
@@ -51,6 +51,8 @@
   // The status with which to reject the connection after the open requests are
   // answered.
   std::optional<int> PendingRejection;
+  // Whether the connection closes while its caller may still be sending.
+  bool Rejected = false;
   // When the current phase began.
   Common::SteadyTime PhaseStart;
   // While the connection closes: what the caller has still to take, and when it
--- a/Source/Core/Http/EdgeServer.h
+++ b/Source/Core/Http/EdgeServer.h
@@ -44,11 +44,13 @@
   void useLimits(const EdgeLimits &Limits);
   // Closes each connection after its next response.
   void drainConnections();
-  // Stops accepting connections and closes those that are idle.
+  // Stops accepting connections, closes those that are idle and refuses the
+  // requests that are incomplete.
   void stopListening();
   // Ends all connections: those that are idle now, the others after their open
   // requests. OnFinished is called once, from the event loop, when no request
-  // is open and the kernel has taken all responses.
+  // is open, the kernel has taken all responses and the callers whose requests
+  // were refused have had time to receive the refusal.
   void finish(std::function<void()> OnFinished);
 
 private:
--- a/Source/Core/Http/EdgeServerState.h
+++ b/Source/Core/Http/EdgeServerState.h
@@ -49,7 +49,7 @@
   void handleClosed(ConnectionId Id, const std::string &Reason);
   void reportCut(const Edge::Connection &Peer, std::string_view Reason) const;
   void continueFinish();
-  void closeIdle();
+  void endWaiting();
   bool hasLingered(Edge::Connection &Peer) const;
   void sweep();
   Common::Duration readTimeout(const Edge::Connection &Peer) const;
--- a/Source/UnitTests/Http/EdgeClosingTests.cpp
+++ b/Source/UnitTests/Http/EdgeClosingTests.cpp
@@ -168,4 +168,28 @@
   BOOST_TEST(waitFor([this] { return Finished == 1; }));
 }
 
+// A reset would have destroyed the refusal.
+BOOST_FIXTURE_TEST_CASE(StopRefusesAnUploadThatStillArrives, Fixture) {
+  RawSocket Caller(Port);
+  Caller.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n"
+              "x");
+  BOOST_REQUIRE(waitFor([this] { return Server->bufferedBytes() > 0; }));
+  Worker.runAndWait([this] {
+    Server->finish([this] {
+      ++Finished;
+      Server.reset();
+    });
+  });
+  const std::string Part(30'000, 'x');
+  for (int Count = 0; Count < 20; ++Count) {
+    std::this_thread::sleep_for(Millis(20));
+    Caller.send(Part);
+  }
+  BOOST_TEST(Caller.readUntil("\r\n\r\n").rfind("HTTP/1.1 503", 0) == 0);
+  BOOST_TEST(Caller.isClosed());
+  BOOST_TEST(!Caller.wasReset());
+  Caller.close();
+  BOOST_TEST(waitFor([this] { return Finished == 1; }, Millis(1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
