Discard unread bytes before a stream is destroyed

A caller that had sent more bytes than its request lost the end of its response when the node ended: the kernel had taken the response, but closing a socket with unread bytes resets the connection and discards what is still on its way.

A stream that has sent something now shuts the connection down for writing and discards the received bytes before it closes the socket. The same holds for the connections between nodes.

--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -21,6 +21,8 @@
 // Limit on reads per iteration of the event loop, so that a peer that sends as
 // fast as it is read doesn't starve other connections.
 constexpr int MaxChunksPerIteration = 4;
+// Limit on the unread bytes that are discarded when a stream is destroyed.
+constexpr int MaxDiscardedChunks = 128;
 // Room for outgoing bytes that a connection keeps when all are sent.
 constexpr std::size_t MaxKeptBytes = 64 << 10;
 // Time after which the kernel closes a connection with unacknowledged data. It
@@ -48,6 +50,8 @@
   ~Impl() {
     *Alive = false;
     Watch.reset();
+    if (!Closed && HasSent)
+      endSending();
     Stream.close();
   }
 
@@ -61,6 +65,7 @@
   void writeAll();
   void close(StreamEnd End, const std::string &Reason);
   int unreadBytes() const;
+  void endSending();
 
   Kernel::Task &Task;
   Events Handlers;
@@ -72,6 +77,7 @@
   bool ReadEnabled = true;
   bool WaitingForWrite = false;
   bool FlushScheduled = false;
+  bool HasSent = false;
   std::string Outgoing;
   std::size_t SentBytes = 0;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
@@ -172,6 +178,7 @@
       return;
     }
     SentBytes += static_cast<std::size_t>(Count);
+    HasSent = true;
   }
   if (SentBytes == Outgoing.size()) {
     if (Outgoing.capacity() > MaxKeptBytes)
@@ -196,6 +203,17 @@
   return ::ioctl(Stream.get_handle(), FIONREAD, &Count) == 0 ? Count : 0;
 }
 
+// Closing a socket with unread bytes resets the connection, which discards what
+// the kernel has still to deliver.
+void ByteStream::Impl::endSending() {
+  Stream.close_writer();
+  static thread_local std::array<char, ReadChunkBytes> Chunk;
+  for (int Chunks = 0; Chunks < MaxDiscardedChunks &&
+                       Stream.recv(Chunk.data(), Chunk.size()) > 0;
+       ++Chunks) {
+  }
+}
+
 void ByteStream::Impl::close(StreamEnd End, const std::string &Reason) {
   if (Closed)
     return;
--- a/Source/UnitTests/Http/EdgeClosingTests.cpp
+++ b/Source/UnitTests/Http/EdgeClosingTests.cpp
@@ -192,4 +192,25 @@
   BOOST_TEST(waitFor([this] { return Finished == 1; }, Millis(1000)));
 }
 
+// The process ends while the kernel still sends a response, and the caller has
+// sent more.
+BOOST_FIXTURE_TEST_CASE(UnreadBytesDoNotResetAResponseOnItsWay, Fixture) {
+  constexpr std::size_t Bytes = 400 << 10;
+  RawSocket Caller(Port, SmallBuffer);
+  Caller.send(request("/hold"));
+  BOOST_REQUIRE(waitFor([this] { return Held.size() == 1; }));
+  Worker.runAndWait([&] {
+    Server->respond(Held[0], {200, {}, std::string(Bytes, 'x')});
+  });
+  std::this_thread::sleep_for(Millis(50));
+  Worker.runAndWait([&] {
+    Caller.send(std::string(100 << 10, ' '));
+    std::this_thread::sleep_for(Millis(20));
+    Server.reset();
+  });
+  BOOST_TEST(Caller.readSlowly(64 << 10, Millis(5), Millis(5000)).size() >
+             Bytes);
+  BOOST_TEST(!Caller.wasReset());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
