Deliver what was received when a write to a connection fails

Answers were lost although the kernel had them: when a send failed because the peer had sent its last bytes and closed, ByteStream closed the socket at once. Between nodes these bytes are replies to open calls; from a backend server, a response that it sent before it had read the whole request.

After a failed write the received bytes are read and delivered, then the close is reported, as Broken: whether the peer had closed in order before the reset is not known any more. isConnected() is false meanwhile, so that the connection is not used again, and EdgeServer passes no further request of a caller that it cannot answer. FrameSocket delivers all frames of such bytes; only its own failure ends the delivery.

--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -86,7 +86,8 @@
   if (Found == Connections.end() || Found->second.State == Phase::Closing)
     return;
   Connection &Peer = Found->second;
-  if (Peer.Discarding)
+  // Requests that cannot be answered are not run.
+  if (Peer.Discarding || !Peer.Stream->isConnected())
     return;
   Peer.LastReceived = now();
   Peer.Incoming.append(Bytes);
--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -21,8 +21,8 @@
 // Limit on reads per iteration of the event loop, so that a peer that sends as
 // fast as it is read doesn't starve other connections.
 constexpr int MaxChunksPerIteration = 4;
-// Limit on the unread bytes that are discarded when a stream is destroyed.
-constexpr int MaxDiscardedChunks = 128;
+// Limit on the reads of what is left when a connection ends.
+constexpr int MaxFinalChunks = 128;
 // Room for outgoing bytes that a connection keeps when all are sent.
 constexpr std::size_t MaxKeptBytes = 64 << 10;
 // Time after which the kernel closes a connection with unacknowledged data. It
@@ -63,6 +63,7 @@
   void deliver(std::string_view Bytes);
   void scheduleFlush();
   void writeAll();
+  void failWriting(const std::string &Reason);
   void close(StreamEnd End, const std::string &Reason);
   int unreadBytes() const;
   void endSending();
@@ -78,6 +79,7 @@
   bool WaitingForWrite = false;
   bool FlushScheduled = false;
   bool HasSent = false;
+  bool WriteFailed = false;
   std::string Outgoing;
   std::size_t SentBytes = 0;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
@@ -172,9 +174,7 @@
     if (Count < 0 && wouldBlock())
       break;
     if (Count < 0) {
-      const std::string Reason = errnoText();
-      close(StreamEnd::Broken, Reason + ", " + std::to_string(unreadBytes()) +
-                                   " received bytes are unread");
+      failWriting(errnoText());
       return;
     }
     SentBytes += static_cast<std::size_t>(Count);
@@ -197,6 +197,24 @@
     Handlers.OnAllSent();
 }
 
+// Delivers what the peer had sent before the connection broke, then closes.
+void ByteStream::Impl::failWriting(const std::string &Reason) {
+  WriteFailed = true;
+  const std::shared_ptr<bool> IsAlive = Alive;
+  static thread_local std::array<char, ReadChunkBytes> Chunk;
+  for (int Chunks = 0; *IsAlive && !Closed && !ClosingGracefully &&
+                       ReadEnabled && Chunks < MaxFinalChunks;
+       ++Chunks) {
+    const ssize_t Count = Stream.recv(Chunk.data(), Chunk.size());
+    if (Count <= 0)
+      break;
+    deliver({Chunk.data(), static_cast<std::size_t>(Count)});
+  }
+  if (*IsAlive && !Closed)
+    close(StreamEnd::Broken, Reason + ", " + std::to_string(unreadBytes()) +
+                                 " received bytes are unread");
+}
+
 // The received bytes that the kernel still holds.
 int ByteStream::Impl::unreadBytes() const {
   int Count = 0;
@@ -208,8 +226,8 @@
 void ByteStream::Impl::endSending() {
   Stream.close_writer();
   static thread_local std::array<char, ReadChunkBytes> Chunk;
-  for (int Chunks = 0; Chunks < MaxDiscardedChunks &&
-                       Stream.recv(Chunk.data(), Chunk.size()) > 0;
+  for (int Chunks = 0;
+       Chunks < MaxFinalChunks && Stream.recv(Chunk.data(), Chunk.size()) > 0;
        ++Chunks) {
   }
 }
@@ -275,14 +293,15 @@
 }
 
 void ByteStream::write(std::string_view Bytes) {
-  if (Self->Closed || Self->ClosingGracefully)
+  if (Self->Closed || Self->ClosingGracefully || Self->WriteFailed)
     return;
   Self->Outgoing.append(Bytes);
   Self->scheduleFlush();
 }
 
 void ByteStream::writeOwned(std::string Bytes) {
-  if (!Self->Outgoing.empty() || Self->Closed || Self->ClosingGracefully) {
+  if (!Self->Outgoing.empty() || Self->Closed || Self->ClosingGracefully ||
+      Self->WriteFailed) {
     write(Bytes);
     return;
   }
@@ -311,7 +330,7 @@
 }
 
 bool ByteStream::isConnected() const {
-  return !Self->Connecting && !Self->Closed;
+  return !Self->Connecting && !Self->Closed && !Self->WriteFailed;
 }
 
 std::size_t ByteStream::unsentBytes() const {
--- a/Source/Core/Net/ByteStream.h
+++ b/Source/Core/Net/ByteStream.h
@@ -60,6 +60,8 @@
   void closeNow(const std::string &Reason);
   void setReading(bool Enabled);
 
+  // False from a failed write on, although bytes that were received before may
+  // still be delivered.
   bool isConnected() const;
   std::size_t unsentBytes() const;
   // The unsent bytes, and those that the kernel has still to deliver.
--- a/Source/Core/Wire/FrameSocket.cpp
+++ b/Source/Core/Wire/FrameSocket.cpp
@@ -64,7 +64,7 @@
       break;
     Position += LengthBytes;
     if (!deliverFrame(std::string_view(Incoming).substr(Position, Length)) ||
-        !*IsAlive || !Stream->isConnected())
+        !*IsAlive)
       return;
     Position += Length;
   }
