Send the remaining bytes to a peer that has closed its sending side

A caller that closes its sending side after its request lost the rest of a response that was already being sent: ByteStream took the end of the received bytes for the end of the connection, also while closeGracefully() still sent.

While it closes gracefully, the stream now sends on until all is sent or a write fails, which it does soon if the peer has closed altogether. An end that comes before the response is queued still cancels the request.

--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -80,6 +80,7 @@
   bool FlushScheduled = false;
   bool HasSent = false;
   bool WriteFailed = false;
+  bool PeerFinished = false;
   std::string Outgoing;
   std::size_t SentBytes = 0;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
@@ -136,6 +137,14 @@
     const ssize_t Count = Stream.recv(Chunk.data(), Chunk.size());
     if (Count < 0 && wouldBlock())
       return;
+    if (Count == 0 && ClosingGracefully && !Outgoing.empty()) {
+      // The peer may have closed only its sending side.
+      PeerFinished = true;
+      ReadEnabled = false;
+      WaitingForWrite = true;
+      updateInterest();
+      return;
+    }
     if (Count == 0) {
       close(StreamEnd::Finished, "closed by peer");
       return;
@@ -187,7 +196,11 @@
     SentBytes = 0;
     if (ClosingGracefully)
       Stream.close_writer();
+    if (PeerFinished)
+      close(StreamEnd::Finished, "closed by peer");
   }
+  if (Closed)
+    return;
   const bool MustWait = !Outgoing.empty();
   if (MustWait != WaitingForWrite) {
     WaitingForWrite = MustWait;
--- a/Source/UnitTests/Net/ByteStreamTests.cpp
+++ b/Source/UnitTests/Net/ByteStreamTests.cpp
@@ -99,4 +99,18 @@
   BOOST_TEST((End == Net::StreamEnd::Broken));
 }
 
+// The peer sends no more, but still receives.
+BOOST_FIXTURE_TEST_CASE(HalfClosedPeerReceivesTheRemainingBytes, Fixture) {
+  Worker.runAndWait([this] {
+    Stream->write(std::string(LargeBytes, 'x'));
+    Stream->closeGracefully();
+  });
+  Peer->shutDownWriting();
+  BOOST_TEST(Peer->readSlowly(4 << 20, Millis(10), Millis(5000)).size() ==
+             LargeBytes);
+  BOOST_TEST(!Peer->wasReset());
+  BOOST_REQUIRE(waitFor([this] { return End.has_value(); }));
+  BOOST_TEST((End == Net::StreamEnd::Finished));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/RawSocket.h
+++ b/Source/UnitTests/RawSocket.h
@@ -77,6 +77,7 @@
 
   bool wasReset() const { return Reset; }
 
+  void shutDownWriting() const { ::shutdown(Fd.value(), SHUT_WR); }
   void close() { Fd.reset(); }
 
 private:
