--- a/Source/Core/Http/EdgeClosing.cpp
+++ b/Source/Core/Http/EdgeClosing.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -32,6 +33,12 @@
 // How soon a caller that was refused for lack of memory may try again.
 constexpr const char *RetryAfterSeconds = "1";
 
+// Whether nothing has come from the caller since its last response.
+bool isIdle(const Connection &Peer) {
+  return Peer.State == Phase::Idle && Peer.Incoming.empty() &&
+         Peer.Stream->unreadBytes() == 0;
+}
+
 } // namespace
 
 // Closes the connection that is least likely to be missed: one that waits for
@@ -100,6 +107,7 @@
     Reply.Fields["retry-after"] = RetryAfterSeconds;
   Peer.Stream->write(encodeResponse(Reply, false, false));
   close(Peer);
+  Peer.Rejected = true;
   Peer.RequestParser.reset();
   Peer.HeldBytes = 0;
   Peer.Held.reset();
@@ -171,7 +179,7 @@
   std::vector<ConnectionId> Lingering;
   for (auto &[Id, Open] : Connections) {
     const Common::Duration Age = Now - Open.PhaseStart;
-    if (Open.State == Phase::Idle && Age > Limits.IdleTimeout)
+    if (Age > Limits.IdleTimeout && isIdle(Open))
       close(Open);
     else if (Open.State == Phase::Reading &&
              (Age > readTimeout(Open) ||
@@ -190,19 +198,28 @@
   continueFinish();
 }
 
-// Closes what has become idle. Reports that the server has finished when all
-// responses are sent.
+// Ends the connections that no request keeps open.
+void EdgeServer::Impl::endWaiting() {
+  for (auto &[Id, Open] : Connections)
+    if (isIdle(Open))
+      close(Open);
+    else if (Open.State == Phase::Reading)
+      reject(Id, Open, ServiceUnavailable);
+}
+
+// Ends what no request keeps open any more. Reports that the server has
+// finished when all responses are sent.
 void EdgeServer::Impl::continueFinish() {
   if (!OnFinished)
     return;
-  bool IsSent = true;
-  for (auto &[Id, Open] : Connections) {
-    if (Open.State == Phase::Idle)
-      close(Open);
-    if (Open.State == Phase::Responding || Open.Stream->unsentBytes() > 0)
-      IsSent = false;
-  }
-  if (!IsSent || (FinishTimer && !Connections.empty()))
+  endWaiting();
+  const bool MustWait = std::any_of(
+      Connections.begin(), Connections.end(), [](const auto &Entry) {
+        const Connection &Peer = Entry.second;
+        return Peer.State != Phase::Closing || Peer.Rejected ||
+               Peer.Stream->unsentBytes() > 0;
+      });
+  if (MustWait || (FinishTimer && !Connections.empty()))
     return;
   if (FinishTimer)
     Clock.cancel(*FinishTimer);
@@ -217,10 +234,10 @@
 void EdgeServer::drainConnections() { Self->Draining = true; }
 
 void EdgeServer::stopListening() {
+  if (Self->Listener)
+    Self->Listener->acceptWaiting();
   Self->Listener.reset();
-  for (auto &[Id, Open] : Self->Connections)
-    if (Open.State == Phase::Idle)
-      Self->close(Open);
+  Self->endWaiting();
 }
 
 void EdgeServer::finish(std::function<void()> OnFinished) {
--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -49,6 +49,7 @@
   Net::ByteStream::Events Handlers;
   Handlers.OnBytes = [this, Id](std::string_view Bytes) {
     handleBytes(Id, Bytes);
+    continueFinish();
   };
   Handlers.OnClosed = [this, Id](Net::StreamEnd, const std::string &Reason) {
     handleClosed(Id, Reason);
@@ -85,7 +86,8 @@
   if (Found == Connections.end() || Found->second.State == Phase::Closing)
     return;
   Connection &Peer = Found->second;
-  if (Peer.Discarding)
+  // Requests that cannot be answered are not run.
+  if (Peer.Discarding || !Peer.Stream->isConnected())
     return;
   Peer.LastReceived = now();
   Peer.Incoming.append(Bytes);
@@ -258,6 +260,7 @@
       pass(Id, Peer, std::move(Exchange), std::move(Received));
     }
     parseAll(Id, Peer);
+    continueFinish();
   });
 }
 
--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -21,6 +21,8 @@
 // Limit on reads per iteration of the event loop, so that a peer that sends as
 // fast as it is read doesn't starve other connections.
 constexpr int MaxChunksPerIteration = 4;
+// Limit on the reads of what is left when a connection ends.
+constexpr int MaxFinalChunks = 128;
 // Room for outgoing bytes that a connection keeps when all are sent.
 constexpr std::size_t MaxKeptBytes = 64 << 10;
 // Time after which the kernel closes a connection with unacknowledged data. It
@@ -48,6 +50,8 @@
   ~Impl() {
     *Alive = false;
     Watch.reset();
+    if (!Closed && HasSent)
+      endSending();
     Stream.close();
   }
 
@@ -59,8 +63,10 @@
   void deliver(std::string_view Bytes);
   void scheduleFlush();
   void writeAll();
+  void failWriting(const std::string &Reason);
   void close(StreamEnd End, const std::string &Reason);
   int unreadBytes() const;
+  void endSending();
 
   Kernel::Task &Task;
   Events Handlers;
@@ -72,6 +78,9 @@
   bool ReadEnabled = true;
   bool WaitingForWrite = false;
   bool FlushScheduled = false;
+  bool HasSent = false;
+  bool WriteFailed = false;
+  bool PeerFinished = false;
   std::string Outgoing;
   std::size_t SentBytes = 0;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
@@ -128,6 +137,14 @@
     const ssize_t Count = Stream.recv(Chunk.data(), Chunk.size());
     if (Count < 0 && wouldBlock())
       return;
+    if (Count == 0 && ClosingGracefully && !Outgoing.empty()) {
+      // The peer may have closed only its sending side.
+      PeerFinished = true;
+      ReadEnabled = false;
+      WaitingForWrite = true;
+      updateInterest();
+      return;
+    }
     if (Count == 0) {
       close(StreamEnd::Finished, "closed by peer");
       return;
@@ -166,12 +183,11 @@
     if (Count < 0 && wouldBlock())
       break;
     if (Count < 0) {
-      const std::string Reason = errnoText();
-      close(StreamEnd::Broken, Reason + ", " + std::to_string(unreadBytes()) +
-                                   " received bytes are unread");
+      failWriting(errnoText());
       return;
     }
     SentBytes += static_cast<std::size_t>(Count);
+    HasSent = true;
   }
   if (SentBytes == Outgoing.size()) {
     if (Outgoing.capacity() > MaxKeptBytes)
@@ -180,7 +196,11 @@
     SentBytes = 0;
     if (ClosingGracefully)
       Stream.close_writer();
+    if (PeerFinished)
+      close(StreamEnd::Finished, "closed by peer");
   }
+  if (Closed)
+    return;
   const bool MustWait = !Outgoing.empty();
   if (MustWait != WaitingForWrite) {
     WaitingForWrite = MustWait;
@@ -190,12 +210,41 @@
     Handlers.OnAllSent();
 }
 
+// Delivers what the peer had sent before the connection broke, then closes.
+void ByteStream::Impl::failWriting(const std::string &Reason) {
+  WriteFailed = true;
+  const std::shared_ptr<bool> IsAlive = Alive;
+  static thread_local std::array<char, ReadChunkBytes> Chunk;
+  for (int Chunks = 0; *IsAlive && !Closed && !ClosingGracefully &&
+                       ReadEnabled && Chunks < MaxFinalChunks;
+       ++Chunks) {
+    const ssize_t Count = Stream.recv(Chunk.data(), Chunk.size());
+    if (Count <= 0)
+      break;
+    deliver({Chunk.data(), static_cast<std::size_t>(Count)});
+  }
+  if (*IsAlive && !Closed)
+    close(StreamEnd::Broken, Reason + ", " + std::to_string(unreadBytes()) +
+                                 " received bytes are unread");
+}
+
 // The received bytes that the kernel still holds.
 int ByteStream::Impl::unreadBytes() const {
   int Count = 0;
   return ::ioctl(Stream.get_handle(), FIONREAD, &Count) == 0 ? Count : 0;
 }
 
+// Closing a socket with unread bytes resets the connection, which discards what
+// the kernel has still to deliver.
+void ByteStream::Impl::endSending() {
+  Stream.close_writer();
+  static thread_local std::array<char, ReadChunkBytes> Chunk;
+  for (int Chunks = 0;
+       Chunks < MaxFinalChunks && Stream.recv(Chunk.data(), Chunk.size()) > 0;
+       ++Chunks) {
+  }
+}
+
 void ByteStream::Impl::close(StreamEnd End, const std::string &Reason) {
   if (Closed)
     return;
@@ -257,14 +306,15 @@
 }
 
 void ByteStream::write(std::string_view Bytes) {
-  if (Self->Closed || Self->ClosingGracefully)
+  if (Self->Closed || Self->ClosingGracefully || Self->WriteFailed)
     return;
   Self->Outgoing.append(Bytes);
   Self->scheduleFlush();
 }
 
 void ByteStream::writeOwned(std::string Bytes) {
-  if (!Self->Outgoing.empty() || Self->Closed || Self->ClosingGracefully) {
+  if (!Self->Outgoing.empty() || Self->Closed || Self->ClosingGracefully ||
+      Self->WriteFailed) {
     write(Bytes);
     return;
   }
@@ -293,7 +343,7 @@
 }
 
 bool ByteStream::isConnected() const {
-  return !Self->Connecting && !Self->Closed;
+  return !Self->Connecting && !Self->Closed && !Self->WriteFailed;
 }
 
 std::size_t ByteStream::unsentBytes() const {
@@ -308,6 +358,12 @@
   return unsentBytes() + static_cast<std::size_t>(Unacknowledged);
 }
 
+std::size_t ByteStream::unreadBytes() const {
+  return Self->Closed || Self->Connecting
+             ? 0
+             : static_cast<std::size_t>(Self->unreadBytes());
+}
+
 std::string ByteStream::peerAddress() const {
   ACE_INET_Addr Peer;
   if (Self->Stream.get_remote_addr(Peer) < 0)
--- a/Source/Core/Net/ByteStream.h
+++ b/Source/Core/Net/ByteStream.h
@@ -60,10 +60,14 @@
   void closeNow(const std::string &Reason);
   void setReading(bool Enabled);
 
+  // False from a failed write on, although bytes that were received before may
+  // still be delivered.
   bool isConnected() const;
   std::size_t unsentBytes() const;
   // The unsent bytes, and those that the kernel has still to deliver.
   std::size_t undeliveredBytes() const;
+  // The received bytes that the kernel still holds.
+  std::size_t unreadBytes() const;
   // The IP address of the peer.
   std::string peerAddress() const;
 
--- a/Source/UnitTests/Http/EdgeClosingTests.cpp
+++ b/Source/UnitTests/Http/EdgeClosingTests.cpp
@@ -1,3 +1,4 @@
+#include <optional>
 #include <thread>
 
 #include <boost/test/unit_test.hpp>
@@ -105,4 +106,111 @@
   BOOST_TEST(waitFor([this] { return Finished == 1; }));
 }
 
+// A task that is late finds whole requests in the kernel when it stops.
+BOOST_FIXTURE_TEST_CASE(StopAnswersARequestThatWaitsInTheKernel, Fixture) {
+  RawSocket Kept(Port);
+  Kept.send(request("/1"));
+  Kept.readUntil("done /1");
+  Worker.runAndWait([&] {
+    Kept.send(request("/2"));
+    std::this_thread::sleep_for(Millis(20));
+    Server->finish([this] { ++Finished; });
+  });
+  BOOST_TEST(Kept.readUntil("done /2").find("done /2") != std::string::npos);
+  BOOST_TEST(Kept.isClosed());
+  BOOST_TEST(waitFor([this] { return Finished == 1; }));
+}
+
+// Closing a listener resets the connections in its accept queue.
+BOOST_FIXTURE_TEST_CASE(StopAnswersAConnectionThatWaitsToBeAccepted, Fixture) {
+  std::optional<RawSocket> New;
+  Worker.runAndWait([&] {
+    New.emplace(Port);
+    New->send(request("/1"));
+    std::this_thread::sleep_for(Millis(20));
+    Server->finish([this] { ++Finished; });
+  });
+  BOOST_TEST(New->readUntil("done /1").find("done /1") != std::string::npos);
+  BOOST_TEST(New->isClosed());
+  BOOST_TEST(waitFor([this] { return Finished == 1; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(StopAnswersPipelinedRequestsThatWereReceived, Fixture) {
+  RawSocket Caller(Port);
+  Caller.send("POST /hold HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n" +
+              request("/2") + request("/3"));
+  BOOST_REQUIRE(waitFor([this] { return Held.size() == 1; }));
+  Worker.runAndWait([this] {
+    Server->drainConnections();
+    Server->respond(Held[0], {200, {}, "held"});
+    Server->finish([this] { ++Finished; });
+  });
+  const std::string Read = Caller.readUntil("done /3");
+  BOOST_TEST(Read.find("done /2") != std::string::npos);
+  BOOST_TEST(Read.find("done /3") != std::string::npos);
+  BOOST_TEST(waitFor([this] { return Finished == 1; }));
+}
+
+// Both the request that is held back and the one behind it.
+BOOST_FIXTURE_TEST_CASE(StopAnswersARequestHeldBehindAnOpenOne, Fixture) {
+  RawSocket Caller(Port);
+  Caller.send(request("/hold") +
+              "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n" +
+              request("/3"));
+  BOOST_REQUIRE(waitFor([this] { return Held.size() == 1; }));
+  Worker.runAndWait([this] {
+    Server->finish([this] { ++Finished; });
+    Server->respond(Held[0], {200, {}, "held"});
+  });
+  const std::string Read = Caller.readUntil("done /3");
+  BOOST_TEST(Read.find("done /2") != std::string::npos);
+  BOOST_TEST(Read.find("done /3") != std::string::npos);
+  BOOST_TEST(waitFor([this] { return Finished == 1; }));
+}
+
+// A reset would have destroyed the refusal.
+BOOST_FIXTURE_TEST_CASE(StopRefusesAnUploadThatStillArrives, Fixture) {
+  RawSocket Caller(Port);
+  Caller.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n"
+              "x");
+  BOOST_REQUIRE(waitFor([this] { return Server->bufferedBytes() > 0; }));
+  Worker.runAndWait([this] {
+    Server->finish([this] {
+      ++Finished;
+      Server.reset();
+    });
+  });
+  const std::string Part(30'000, 'x');
+  for (int Count = 0; Count < 20; ++Count) {
+    std::this_thread::sleep_for(Millis(20));
+    Caller.send(Part);
+  }
+  BOOST_TEST(Caller.readUntil("\r\n\r\n").rfind("HTTP/1.1 503", 0) == 0);
+  BOOST_TEST(Caller.isClosed());
+  BOOST_TEST(!Caller.wasReset());
+  Caller.close();
+  BOOST_TEST(waitFor([this] { return Finished == 1; }, Millis(1000)));
+}
+
+// The process ends while the kernel still sends a response, and the caller has
+// sent more.
+BOOST_FIXTURE_TEST_CASE(UnreadBytesDoNotResetAResponseOnItsWay, Fixture) {
+  constexpr std::size_t Bytes = 400 << 10;
+  RawSocket Caller(Port, SmallBuffer);
+  Caller.send(request("/hold"));
+  BOOST_REQUIRE(waitFor([this] { return Held.size() == 1; }));
+  Worker.runAndWait([&] {
+    Server->respond(Held[0], {200, {}, std::string(Bytes, 'x')});
+  });
+  std::this_thread::sleep_for(Millis(50));
+  Worker.runAndWait([&] {
+    Caller.send(std::string(100 << 10, ' '));
+    std::this_thread::sleep_for(Millis(20));
+    Server.reset();
+  });
+  BOOST_TEST(Caller.readSlowly(64 << 10, Millis(5), Millis(5000)).size() >
+             Bytes);
+  BOOST_TEST(!Caller.wasReset());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
