Give up running calls only after their full time, also after a pause

Cause: the node cannot tell when in a pause a request was sent. It charges the whole pause against each request that is read within 20 ms after it, and the result decided when the running call was given up: the connection to the server was closed 30 ms after that time, as OutcomeUnknown. A server that reported 60 ms late that the time it was handed is over met the same end.

The estimate now has two ends. The earliest deadline still decides admission and what the server is handed, which is never more than is left. The latest one, without the pause, decides when a running call is given up, and whether a call may outlast a stopping node. The caller-side node ends the call at the true deadline, which lies between the two, so no call lasts longer for its caller. The slot stays busy until the transfer ends.

The tests fail without the change (each of the three, in one run):

RunningCallIsNotGivenUpEarlyAfterAPause event=no-answer may-have-run=true reason="no response within the timeout" check replies().empty() has failed check OpenExchanges.size() == 1 has failed [2 != 1] check reply(0).Body == "whole" has failed [ != whole] LateDeadlineResponseIsPassedOnAfterAPause check (reply(0).Result == Common::ResultCode::Ok) has failed check reply(0).HttpStatus == 504 has failed [200 != 504] PlannedStopCountsTheFullTimeOfACallAfterAPause check (reply(0).Result == Common::ResultCode::Draining) has failed

A server that keeps the time it was handed still ends a call up to the length of the pause too early. Only the receive times of the kernel could tell more.

--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -88,7 +88,12 @@
     Routing::CallRequest Request;
     Common::SteadyTime Arrived;
     Common::SteadyTime Started;
+    // The earliest and the latest time at which the deadline may be. They
+    // differ if the request may have been received during a pause. The server
+    // must not work beyond the first; the call is not given up before the
+    // second.
     Common::SteadyTime Deadline;
+    Common::SteadyTime LatestDeadline;
     std::optional<Http::TransferId> Transfer;
     // Counted towards HeldBytes. That of a local caller's request is counted
     // where it arrived.
@@ -134,9 +139,9 @@
       Call.Bytes = memoryOf(Call.Request);
     HeldBytes += Call.Bytes;
     // The remaining time counts from when the request left the caller-side
-    // node, so a pause of this process before it was read is subtracted.
-    Call.Deadline =
-        Call.Arrived + Call.Request.Remaining - Pauses.pause(Call.Arrived);
+    // node, which may have been at any time of a pause of this process.
+    Call.LatestDeadline = Call.Arrived + Call.Request.Remaining;
+    Call.Deadline = Call.LatestDeadline - Pauses.pause(Call.Arrived);
     CallIds.emplace(AttemptKey(Call.Origin, Call.Request.Attempt), Id);
     const OpenCall &Opened = Calls.emplace(Id, std::move(Call)).first->second;
     if (Opened.Request.Service != Server.Service) {
@@ -169,7 +174,7 @@
   }
 
   bool mayOutlastNode(const OpenCall &Call) const {
-    return StopsAt && Call.Deadline > *StopsAt;
+    return StopsAt && Call.LatestDeadline > *StopsAt;
   }
 
   void onMessage(CancelArrived &Event) {
@@ -254,7 +259,8 @@
         Call.Deadline - Call.Started);
     Http::KeepAliveRequest ServerRequest =
         HttpCodec.toServerRequest(Call.Request, {Server.Server, Remaining});
-    ServerRequest.Timeout = Remaining + ServerSlack;
+    ServerRequest.Timeout = std::chrono::duration_cast<Common::Micros>(
+        Call.LatestDeadline - Call.Started + ServerSlack);
     Call.Transfer = Transport->send(
         std::move(ServerRequest),
         [this, Id](Http::ClientResult Result) { onServerReply(Id, Result); });
--- a/Source/UnitTests/Node/BackendServiceTests.cpp
+++ b/Source/UnitTests/Node/BackendServiceTests.cpp
@@ -19,6 +19,7 @@
   Kernel::Registry Names;
   std::vector<Node::PeersMessage> Sent;
   std::vector<Http::ExchangeId> OpenExchanges;
+  std::vector<Http::Request> ServerRequests;
   std::unique_ptr<Http::Server> Server;
   std::unique_ptr<Node::BackendService<Sink>> Tested;
 
@@ -26,8 +27,9 @@
     Worker.spawn();
     Worker.runAndWait([this] {
       Server = Http::ServerBuilder(Worker)
-                   .onRequest([this](Http::ExchangeId Id, const auto &) {
+                   .onRequest([this](Http::ExchangeId Id, const auto &Request) {
                      OpenExchanges.push_back(Id);
+                     ServerRequests.push_back(Request);
                    })
                    .build();
       Tested = std::make_unique<Node::BackendService<Sink>>(
@@ -49,8 +51,10 @@
 
   void request(Routing::AttemptId Id, bool Idempotent,
                const std::string &Service = "s",
-               Common::Millis Remaining = Common::Millis(5000)) {
+               Common::Millis Remaining = Common::Millis(5000),
+               Common::Millis Pause = Common::Millis(0)) {
     Worker.runAndWait([&] {
+      std::this_thread::sleep_for(Pause);
       Routing::CallRequest Request;
       Request.Attempt = Id;
       Request.Service = Service;
@@ -164,6 +168,51 @@
   BOOST_TEST(OpenExchanges.empty());
 }
 
+// Guards against calls that are given up while the server runs them: the pause
+// is charged in full against a request that was sent at its end.
+BOOST_FIXTURE_TEST_CASE(RunningCallIsNotGivenUpEarlyAfterAPause, Fixture) {
+  const Common::Millis Remaining(1500);
+  request(1, false, "s", Remaining, Common::Millis(600));
+  const auto Sent = std::chrono::steady_clock::now();
+  waitFor([&] { return OpenExchanges.size() == 1; });
+  request(2, true);
+  std::this_thread::sleep_until(Sent + Remaining - Common::Millis(100));
+  Worker.runAndWait([&] {
+    BOOST_TEST(replies().empty());
+    BOOST_TEST(OpenExchanges.size() == 1);
+    // The server is never handed more time than is left.
+    BOOST_TEST(std::stoi(ServerRequests[0].Fields.at("x-deadline-ms")) <= 900);
+    Server->respond(OpenExchanges[0], {200, {}, "whole"});
+  });
+  BOOST_TEST(reply(0).Body == "whole");
+}
+
+// The same when the server itself ends the call somewhat after the time that it
+// was handed.
+BOOST_FIXTURE_TEST_CASE(LateDeadlineResponseIsPassedOnAfterAPause, Fixture) {
+  request(1, false, "s", Common::Millis(1500), Common::Millis(600));
+  const auto Sent = std::chrono::steady_clock::now();
+  waitFor([&] { return OpenExchanges.size() == 1; });
+  const Common::Millis Handed(
+      std::stoi(ServerRequests[0].Fields.at("x-deadline-ms")));
+  std::this_thread::sleep_until(Sent + Handed + Common::Millis(60));
+  Worker.runAndWait([&] { Server->respond(OpenExchanges[0], {504, {}, ""}); });
+  BOOST_TEST((reply(0).Result == Common::ResultCode::Ok));
+  BOOST_TEST(reply(0).HttpStatus == 504);
+}
+
+// Guards against a planned stop that takes a call for its shortest possible
+// time, while the call may last for its full time.
+BOOST_FIXTURE_TEST_CASE(PlannedStopCountsTheFullTimeOfACallAfterAPause,
+                        Fixture) {
+  Worker.runAndWait([&] {
+    Tested->prepareStop(std::chrono::steady_clock::now() +
+                        Common::Millis(2000));
+  });
+  request(1, false, "s", Common::Millis(1500), Common::Millis(600));
+  BOOST_TEST((reply(0).Result == Common::ResultCode::Draining));
+}
+
 namespace {
 
 // Answers the first request and closes the connection on any later one.
