--- a/Source/Core/Kernel/Task.cpp
+++ b/Source/Core/Kernel/Task.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <cstdint>
+#include <cstring>
 #include <future>
 #include <map>
 #include <mutex>
@@ -66,6 +68,11 @@
   return Mask;
 }
 
+bool removeHandler(ACE_Reactor &Reactor, int Fd) {
+  return Reactor.remove_handler(Fd, ACE_Event_Handler::ALL_EVENTS_MASK |
+                                        ACE_Event_Handler::DONT_CALL) == 0;
+}
+
 void drainCounter(int Fd) {
   std::uint64_t Count = 0;
   while (::read(Fd, &Count, sizeof Count) > 0) {
@@ -77,16 +84,25 @@
 struct SocketWatch::Handler : ACE_Event_Handler {
   int Fd = -1;
   std::function<void(IoReadiness)> OnReady;
+  // Whether the reactor has this handler. It cannot remove a handler without an
+  // interest, so it has only those with one.
+  bool IsRegistered = false;
+  bool HasEnded = false;
 
   ACE_HANDLE get_handle() const override { return Fd; }
   int handle_input(ACE_HANDLE Handle) override {
     (void)Handle;
-    OnReady({.Read = true});
-    return 0;
+    return report({.Read = true});
   }
   int handle_output(ACE_HANDLE Handle) override {
     (void)Handle;
-    OnReady({.Write = true});
+    return report({.Write = true});
+  }
+
+private:
+  int report(IoReadiness Ready) const {
+    if (!HasEnded)
+      OnReady(Ready);
     return 0;
   }
 };
@@ -100,12 +116,19 @@
       Common::throwSystemError("creating the eventfd and timerfd of a task");
   }
 
+  void setInterest(SocketWatch::Handler &Watched, IoReadiness Interest);
+  void endWatch(std::unique_ptr<SocketWatch::Handler> Watched);
+  void releaseStranded(int Fd);
   void armTimer();
   void runDueTimers();
   bool runJobs();
   void runGuarded(const Job &Work);
 
   std::string Name;
+  // Handlers whose watch has ended but which the reactor failed to remove,
+  // because their descriptor was closed. Declared before the reactor, which
+  // refers to them.
+  std::unordered_map<int, std::unique_ptr<SocketWatch::Handler>> Stranded;
   ACE_Reactor Reactor;
   Common::UniqueFd WakeFd;
   // Timers use a timerfd because the timeout of epoll_wait has a resolution of
@@ -128,6 +151,46 @@
   std::vector<std::unique_ptr<SocketWatch::Handler>> RetiredHandlers;
 };
 
+void Task::Impl::setInterest(SocketWatch::Handler &Watched,
+                             IoReadiness Interest) {
+  const ACE_Reactor_Mask Mask = toMask(Interest);
+  if (Mask == ACE_Event_Handler::NULL_MASK) {
+    if (Watched.IsRegistered)
+      Watched.IsRegistered = !removeHandler(Reactor, Watched.Fd);
+  } else if (Watched.IsRegistered) {
+    Reactor.mask_ops(Watched.Fd, Mask, ACE_Reactor::SET_MASK);
+  } else {
+    if (Reactor.register_handler(Watched.Fd, &Watched, Mask) < 0)
+      Common::throwSystemError("registering a socket with the reactor");
+    Watched.IsRegistered = true;
+  }
+}
+
+void Task::Impl::endWatch(std::unique_ptr<SocketWatch::Handler> Watched) {
+  Watched->HasEnded = true;
+  if (!Watched->IsRegistered || removeHandler(Reactor, Watched->Fd)) {
+    RetiredHandlers.push_back(std::move(Watched));
+    return;
+  }
+  spdlog::error("task {}: the reactor keeps the handler of descriptor {}: {}",
+                Name, Watched->Fd, std::strerror(errno));
+  const int Fd = Watched->Fd;
+  Stranded[Fd] = std::move(Watched);
+}
+
+// Removes the handler of an earlier descriptor with the same number, which is
+// possible again now that the number is in use.
+void Task::Impl::releaseStranded(int Fd) {
+  const auto Found = Stranded.find(Fd);
+  if (Found == Stranded.end())
+    return;
+  Reactor.mask_ops(Fd, ACE_Event_Handler::READ_MASK, ACE_Reactor::SET_MASK);
+  if (!removeHandler(Reactor, Fd))
+    Common::throwSystemError("removing the handler of a closed socket");
+  RetiredHandlers.push_back(std::move(Found->second));
+  Stranded.erase(Found);
+}
+
 void Task::Impl::armTimer() {
   const SteadyTime Due =
       Timers.empty() ? SteadyTime::max() : Timers.begin()->first.first;
@@ -311,8 +374,8 @@
   Watched->OnReady = [this, Callback = std::move(OnReady)](IoReadiness Ready) {
     Self->runGuarded([&] { Callback(Ready); });
   };
-  if (Self->Reactor.register_handler(Fd, Watched.get(), toMask(Interest)) < 0)
-    Common::throwSystemError("registering a socket with the reactor");
+  Self->releaseStranded(Fd);
+  Self->setInterest(*Watched, Interest);
   return std::unique_ptr<SocketWatch>(
       new SocketWatch(*this, std::move(Watched)));
 }
@@ -320,16 +383,10 @@
 SocketWatch::SocketWatch(Task &Owner, std::unique_ptr<Handler> Watched)
     : Owner(Owner), Watched(std::move(Watched)) {}
 
-SocketWatch::~SocketWatch() {
-  Owner.Self->Reactor.remove_handler(Watched->Fd,
-                                     ACE_Event_Handler::ALL_EVENTS_MASK |
-                                         ACE_Event_Handler::DONT_CALL);
-  Owner.Self->RetiredHandlers.push_back(std::move(Watched));
-}
+SocketWatch::~SocketWatch() { Owner.Self->endWatch(std::move(Watched)); }
 
 void SocketWatch::setInterest(IoReadiness Interest) {
-  Owner.Self->Reactor.mask_ops(Watched->Fd, toMask(Interest),
-                               ACE_Reactor::SET_MASK);
+  Owner.Self->setInterest(*Watched, Interest);
 }
 
 } // namespace Kernel
--- a/Source/UnitTests/Kernel/TaskTests.cpp
+++ b/Source/UnitTests/Kernel/TaskTests.cpp
@@ -1,4 +1,5 @@
 #include <future>
+#include <optional>
 
 #include <boost/test/unit_test.hpp>
 #include <sys/socket.h>
@@ -87,6 +88,195 @@
   Worker.runAndWait([&] { Watch.reset(); });
 }
 
+namespace {
+
+// A connected pair of sockets of which a test watches the first.
+struct SocketPair {
+  Common::UniqueFd Watched;
+  Common::UniqueFd Peer;
+
+  SocketPair() {
+    int Sockets[2];
+    BOOST_REQUIRE(
+        socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, Sockets) == 0);
+    Watched = Common::UniqueFd(Sockets[0]);
+    Peer = Common::UniqueFd(Sockets[1]);
+  }
+  void send() const { BOOST_REQUIRE(::write(Peer.value(), "z", 1) == 1); }
+};
+
+void drain(int Fd) {
+  char Byte = 0;
+  while (::read(Fd, &Byte, 1) > 0) {
+  }
+}
+
+// Counts the events of the first socket and of a later one with the same
+// descriptor.
+struct ReusedDescriptor {
+  Kernel::Task Worker{"t"};
+  std::optional<SocketPair> Sockets;
+  std::unique_ptr<Kernel::SocketWatch> Watch;
+  int FirstEvents = 0;
+  int SecondEvents = 0;
+
+  ReusedDescriptor() { Worker.spawn(); }
+  ~ReusedDescriptor() {
+    Worker.runAndWait([this] { Watch.reset(); });
+  }
+
+  void watchFirst(Kernel::IoReadiness InterestAfterEvent) {
+    Sockets.emplace();
+    Watch = Worker.watch(Sockets->Watched.value(), {.Read = true},
+                         [this, InterestAfterEvent](auto) {
+                           ++FirstEvents;
+                           drain(Sockets->Watched.value());
+                           if (Watch)
+                             Watch->setInterest(InterestAfterEvent);
+                         });
+  }
+  // The descriptor is closed after or before its watch ends.
+  void replaceFirst(bool WatchEndsFirst) {
+    const int Descriptor = Sockets->Watched.value();
+    if (WatchEndsFirst)
+      Watch.reset();
+    Sockets.reset();
+    Watch.reset();
+    Sockets.emplace();
+    BOOST_REQUIRE(Sockets->Watched.value() == Descriptor);
+    Watch = Worker.watch(Descriptor, {.Read = true}, [this, Descriptor](auto) {
+      ++SecondEvents;
+      drain(Descriptor);
+    });
+    Sockets->send();
+  }
+  void waitForEvents(int Count) {
+    const auto End =
+        std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    bool IsMet = false;
+    while (!IsMet && std::chrono::steady_clock::now() < End)
+      Worker.runAndWait([&] { IsMet = FirstEvents + SecondEvents >= Count; });
+    BOOST_REQUIRE(IsMet);
+  }
+};
+
+} // namespace
+
+// Guards against events that are dispatched to a destroyed handler: the watch
+// of the earlier socket with this descriptor ended without an interest.
+BOOST_FIXTURE_TEST_CASE(EventsAfterAWatchWithoutInterestReachTheNextSocket,
+                        ReusedDescriptor) {
+  Worker.runAndWait([&] {
+    watchFirst({.Read = true});
+    Watch->setInterest({});
+    replaceFirst(true);
+  });
+  waitForEvents(1);
+  Worker.runAndWait([&] {
+    BOOST_TEST(FirstEvents == 0);
+    BOOST_TEST(SecondEvents == 1);
+  });
+}
+
+// The same when the interest ends while an event is dispatched.
+BOOST_FIXTURE_TEST_CASE(
+    EventsAfterAnInterestThatEndedInAnEventReachTheNextSocket,
+    ReusedDescriptor) {
+  Worker.runAndWait([&] {
+    watchFirst({});
+    Sockets->send();
+  });
+  waitForEvents(1);
+  Worker.runAndWait([&] { replaceFirst(true); });
+  waitForEvents(2);
+  Worker.runAndWait([&] {
+    BOOST_TEST(FirstEvents == 1);
+    BOOST_TEST(SecondEvents == 1);
+  });
+}
+
+// The same when the interest ends and the watch is destroyed in one event.
+BOOST_FIXTURE_TEST_CASE(EventsAfterAWatchThatEndedInItsEventReachTheNextSocket,
+                        ReusedDescriptor) {
+  Worker.runAndWait([&] {
+    Sockets.emplace();
+    Watch =
+        Worker.watch(Sockets->Watched.value(), {.Read = true}, [this](auto) {
+          ++FirstEvents;
+          Watch->setInterest({});
+          replaceFirst(true);
+        });
+    Sockets->send();
+  });
+  waitForEvents(2);
+  Worker.runAndWait([&] {
+    BOOST_TEST(FirstEvents == 1);
+    BOOST_TEST(SecondEvents == 1);
+  });
+}
+
+// The same when the descriptor was closed before its watch ended.
+BOOST_FIXTURE_TEST_CASE(EventsAfterAWatchOfAClosedSocketReachTheNextSocket,
+                        ReusedDescriptor) {
+  Worker.runAndWait([&] {
+    watchFirst({.Read = true});
+    replaceFirst(false);
+  });
+  waitForEvents(1);
+  Worker.runAndWait([&] {
+    BOOST_TEST(FirstEvents == 0);
+    BOOST_TEST(SecondEvents == 1);
+  });
+}
+
+// Guards against a socket that stays silent after its interest was empty.
+BOOST_FIXTURE_TEST_CASE(EventsAreReportedAgainAfterAnEmptyInterest,
+                        ReusedDescriptor) {
+  Worker.runAndWait([&] {
+    watchFirst({});
+    Sockets->send();
+  });
+  waitForEvents(1);
+  Worker.runAndWait([&] { Sockets->send(); });
+  std::this_thread::sleep_for(Millis(50));
+  Worker.runAndWait([&] {
+    BOOST_TEST(FirstEvents == 1);
+    Watch->setInterest({.Read = true});
+  });
+  waitForEvents(2);
+}
+
+// The same when the interest is empty only within one event.
+BOOST_FIXTURE_TEST_CASE(EventsAreReportedAfterAnInterestThatWasEmptyInAnEvent,
+                        ReusedDescriptor) {
+  Worker.runAndWait([&] {
+    Sockets.emplace();
+    Watch =
+        Worker.watch(Sockets->Watched.value(), {.Read = true}, [this](auto) {
+          ++FirstEvents;
+          drain(Sockets->Watched.value());
+          Watch->setInterest({});
+          Watch->setInterest({.Read = true});
+        });
+  });
+  for (int Count = 1; Count <= 3; ++Count) {
+    Worker.runAndWait([&] { Sockets->send(); });
+    waitForEvents(Count);
+  }
+  std::this_thread::sleep_for(Millis(20));
+  Worker.runAndWait([&] { BOOST_TEST(FirstEvents == 3); });
+}
+
+// Guards against a task whose end uses the destroyed handler of a closed
+// socket.
+BOOST_FIXTURE_TEST_CASE(TaskEndsAfterAWatchOfAClosedSocket, ReusedDescriptor) {
+  Worker.runAndWait([&] {
+    watchFirst({.Read = true});
+    Sockets.reset();
+    Watch.reset();
+  });
+}
+
 // Guards against an event loop that polls instead of blocking.
 BOOST_AUTO_TEST_CASE(UsesNoCpuTimeWhileIdle) {
   Kernel::Task Worker("t");
