Show that a stop refuses the calls of servers that are at work

A backend server that calls another service through its own node more than 3 s after that node's SIGTERM finds no connection, although the node waits for the request that the server runs. Its caller gets 500.

--- a/Tools/scenarios/planned-stop.py
+++ b/Tools/scenarios/planned-stop.py
@@ -106,7 +106,8 @@
             end = arrived + left
             status = 200
             if "call" in query:
-                await asyncio.sleep(min(work / 2, max(0, end - now())))
+                before = work * float(query.get("at", 0.5))
+                await asyncio.sleep(min(before, max(0, end - now())))
                 work -= now() - run.started
                 nested = await self.trial.nested_call(
                     self, query["call"], max(0.02, end - now() - 0.05)
@@ -541,6 +542,11 @@
                     self.failures.append(
                         self.describe(request, "own call of a server not served: %s %s"
                                       % (request.outcome, request.status)))
+        latest = [(request.started - stop.at, request.status) for request in self.requests
+                  if request.nested and (stop := self.stop_of(request.node, request.started))]
+        if latest:
+            print("own calls of servers beside stopping nodes: %d, the last %.2f s after SIGTERM"
+                  % (len(latest), max(latest)[0]))
         print("%s seed %d: %d stops, %d requests, %s; %s; %d pauses of %.2f s at most" % (
             self.options.case, self.options.seed, len(self.stops), len(self.requests),
             counts, self.notes, len(self.pauses),
@@ -619,13 +625,13 @@
     return make
 
 
-async def own_callers(trial):
+async def own_callers(trial, work=(0.02, 2.8), count=40):
     """The node that took the requests stops by itself."""
     chosen = names({"front": 2, "payouts": 3})
     await trial.start(chosen, routes(chosen))
     node = trial.of("front")[0]
     at = now() + 3
-    trial.call_around(node, at, 2.5, 4, 40, post(trial, node, "payouts", (0.02, 2.8)))
+    trial.call_around(node, at, 2.5, 4, count, post(trial, node, "payouts", work))
     await asyncio.sleep(at - now())
     await trial.stop(node, restart=False)
 
@@ -668,17 +674,18 @@
     await trial.stop(node, restart=False)
 
 
-async def server_calls(trial):
+async def server_calls(trial, timeout=3.0, before=2.5, after=4.0, once=False):
     """Backend servers make calls through their own node while it stops."""
     trial.options.check_nested = True
     chosen = names({"front": 2, "payouts": 2, "ledger": 2})
-    await trial.start(chosen, routes(chosen))
+    await trial.start(chosen, routes(chosen, timeout))
     taker, beside = trial.of("front")[0], trial.of("payouts")[0]
+    work = (timeout - 0.6, timeout - 0.4) if once else (0.3, timeout - 0.4)
     at = now() + 3
-    make = post(trial, taker, "payouts", (0.3, 2.8), call="/ledger/own?work=0.05")
-    trial.call_around(taker, at, 2.5, 4, 40, make)
-    make = post(trial, beside, "payouts", (0.3, 2.8), call="/ledger/own?work=0.05")
-    trial.call_around(beside, at, 2.5, 4, 20, make)
+    for node, count in ((taker, 40), (beside, 20)):
+        make = post(trial, node, "payouts", work, (timeout - 0.3, timeout),
+                    call="/ledger/own?work=0.05", at=0.8)
+        trial.call_around(node, at, before, after, count, make, once=once)
     await asyncio.sleep(at - now())
     await trial.stop(beside, restart=False)
 
@@ -788,7 +795,7 @@
     end = now() + trial.options.seconds
     for node in trial.nodes:
         for index in range(6):
-            rate = trial.random.choice((300_000, 1_500_000)) if index == 5 else None
+            rate = trial.random.choice((300_000, 1_500_000)) if index == 5 and trial.options.slow_links else None
             trial.tasks.append(asyncio.ensure_future(
                 trial.caller(node, now() + trial.random.uniform(0, 1), end + 8,
                              make_for(node, rate), rate=rate)))
@@ -822,6 +829,7 @@
 SHORT, LONG = (0.02, 0.3), (1.5, 2.8)
 CASES = {
     "own-callers": own_callers,
+    "own-callers-long": lambda trial: own_callers(trial, (2.2, 2.8), 70),
     "neighbour-short": lambda trial: neighbour(trial, (0, -0.4, 0.4), SHORT),
     "neighbour-long": lambda trial: neighbour(trial, (0, -0.4, 0.4), LONG),
     "neighbour-alone-short": lambda trial: neighbour(trial, (0,), SHORT, alone=True),
@@ -830,6 +838,7 @@
     "neighbour-remote": lambda trial: neighbour(trial, (0, -0.4, 0.4), (0.02, 2.8), remote=True),
     "long-calls": long_calls,
     "server-calls": server_calls,
+    "server-calls-late": lambda trial: server_calls(trial, 5.0, 0.4, 0.1, True),
     "slow-receivers": slow_receivers,
     "slow-receivers-close": lambda trial: slow_receivers(trial, stopping=False),
     "uploads": uploads,
@@ -869,6 +878,8 @@
                         help="busy processes that share one core with the nodes")
     parser.add_argument("--pause", type=float, default=0,
                         help="stops each node's process for so long in each second")
+    parser.add_argument("--no-slow-links", dest="slow_links", action="store_false",
+                        help="leaves slow receivers out of a soak")
     parser.add_argument("--bin", default=os.path.join(ROOT, "build/release/bin"))
     parser.add_argument("--root", default=ROOT, help="where the deploy folder lies")
     parser.add_argument("--keep", help="folder for the logs of the nodes")
