Close idle connections before one that still receives its response

When all connections of a node were in use, a new caller took the place of one that was still receiving its response: makeRoom() regards a closing connection as one that only waits for its caller, and a kept one as idle, whatever they have still to send.

Connections with unsent bytes are now selected last.

IdleConnectionGivesWayBeforeAResponse failed before: event=connection-cut unsent-bytes= reason="too many connections" check Slow.readSlowly(...).size() > LargeBytes has failed [3904956 <=]

--- a/Source/Core/Http/EdgeClosing.cpp
+++ b/Source/Core/Http/EdgeClosing.cpp
@@ -43,13 +43,14 @@
 
 // Closes the connection that is least likely to be missed: one that waits for
 // its caller to close it, then the one that has been idle for longest, then the
-// one that has been sending its request for longest. None if all of them have
-// a request open.
+// one that has been sending its request for longest, then one that still
+// receives a response. None if all of them have a request open.
 void EdgeServer::Impl::makeRoom() {
   const auto Rank = [](const Connection &Candidate) {
-    return Candidate.State == Phase::Closing ? 0
-           : Candidate.State == Phase::Idle  ? 1
-                                             : 2;
+    return Candidate.Stream->unsentBytes() > 0 ? 3
+           : Candidate.State == Phase::Closing ? 0
+           : Candidate.State == Phase::Idle    ? 1
+                                               : 2;
   };
   auto Selected = Connections.end();
   for (auto Next = Connections.begin(); Next != Connections.end(); ++Next)
--- a/Source/UnitTests/Http/EdgeClosingTests.cpp
+++ b/Source/UnitTests/Http/EdgeClosingTests.cpp
@@ -29,11 +29,12 @@
   int Finished = 0;
   int Port = 0;
 
-  Fixture() {
+  explicit Fixture(const Http::EdgeCapacity &Capacity = {}) {
     Worker.spawn();
-    Worker.runAndWait([this] {
+    Worker.runAndWait([&] {
       Server =
           Http::EdgeServerBuilder(Worker)
+              .capacity(Capacity)
               .onRequest([this](Http::ExchangeId Id, const Http::Request &Got) {
                 if (Got.Path == "/hold")
                   Held.push_back(Id);
@@ -213,4 +214,33 @@
   BOOST_TEST(!Caller.wasReset());
 }
 
+namespace {
+
+struct CrowdedFixture : Fixture {
+  CrowdedFixture() : Fixture({.Connections = 3}) {}
+};
+
+} // namespace
+
+// A new caller must not take the place of one that still receives a response.
+BOOST_FIXTURE_TEST_CASE(IdleConnectionGivesWayBeforeAResponse, CrowdedFixture) {
+  RawSocket Slow(Port, SmallBuffer);
+  Slow.send(request("/large", "Connection: close\r\n"));
+  RawSocket SlowAndKept(Port, SmallBuffer);
+  SlowAndKept.send(request("/large"));
+  BOOST_REQUIRE(
+      waitFor([this] { return Server->bufferedBytes() > LargeBytes; }));
+  RawSocket Idle(Port);
+  Idle.send(request("/1"));
+  Idle.readUntil("done /1");
+  RawSocket New(Port);
+  New.send(request("/2"));
+  BOOST_TEST(New.readUntil("done /2").find("done /2") != std::string::npos);
+  BOOST_TEST(Idle.isClosed());
+  BOOST_TEST(Slow.readSlowly(4 << 20, Millis(1), Millis(2000)).size() >
+             LargeBytes);
+  BOOST_TEST(SlowAndKept.readSlowly(4 << 20, Millis(1), Millis(2000)).size() >
+             LargeBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
