Read what has arrived before a request times out

Connections with unread bytes are now judged after these are read.

RequestThatWaitsInTheKernelDoesNotTimeOut failed before: check Peer.readUntil("\r\n\r\n").rfind("HTTP/1.1 200", 0) == 0 has failed

--- a/Source/Core/Http/EdgeClosing.cpp
+++ b/Source/Core/Http/EdgeClosing.cpp
@@ -184,7 +184,8 @@
       close(Open);
     else if (Open.State == Phase::Reading &&
              (Age > readTimeout(Open) ||
-              Now - Open.LastReceived > Limits.IdleTimeout))
+              Now - Open.LastReceived > Limits.IdleTimeout) &&
+             Open.Stream->unreadBytes() == 0)
       reject(Id, Open, RequestTimeout);
     else if (Open.State == Phase::Closing && hasLingered(Open))
       Lingering.push_back(Id);
--- a/Source/UnitTests/Http/EdgeServerTests.cpp
+++ b/Source/UnitTests/Http/EdgeServerTests.cpp
@@ -1,3 +1,4 @@
+#include <deque>
 #include <functional>
 #include <random>
 #include <thread>
@@ -303,6 +304,24 @@
   BOOST_TEST(Peer.readUntil("200 OK").find("200 OK") != std::string::npos);
 }
 
+// Due timers run between two socket events, so a task that is late may find
+// that a request has timed out although the rest of it has arrived.
+BOOST_FIXTURE_TEST_CASE(RequestThatWaitsInTheKernelDoesNotTimeOut, Fixture) {
+  RawSocket Peer(Port);
+  Peer.send("GET /a HTTP/1.1\r\n");
+  std::deque<RawSocket> Others;
+  while (Others.size() < 10)
+    Others.emplace_back(Port);
+  std::this_thread::sleep_for(Millis(50));
+  Worker.runAndWait([&] {
+    for (const RawSocket &Other : Others)
+      Other.send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    Peer.send("Host: h\r\n\r\n");
+    std::this_thread::sleep_for(Millis(600));
+  });
+  BOOST_TEST(Peer.readUntil("\r\n\r\n").rfind("HTTP/1.1 200", 0) == 0);
+}
+
 // A planned stop begins while a request runs. The next one on the connection
 // has been received already, so it must get an answer as well.
 BOOST_FIXTURE_TEST_CASE(DrainAnswersRequestsThatWereReceived, Fixture) {
