Send no request on a connection that the server has closed

A request that must not be repeated failed, since it may have run, although its server never got it: it was written to a kept connection whose close by the server had arrived, but had not been read yet because the task was late.

KeepAliveClient reuses a connection only if neither bytes nor a close wait to be read.

RequestIsNotSentOnAConnectionThatTheServerHasClosed failed before: check result(2).Answered has failed check connectionsOpened() == 2U has failed [1 != 2]

--- a/Source/Core/Http/KeepAliveClient.cpp
+++ b/Source/Core/Http/KeepAliveClient.cpp
@@ -277,7 +277,7 @@
     Selected = Idle.front();
     Idle.pop_front();
     const Connection &Found = Connections.at(Selected);
-    if (!Found.Stream->isConnected() || Found.Server != Server ||
+    if (!Found.Stream->isQuiet() || Found.Server != Server ||
         now() - Found.IdleSince > Found.IdleTimeout) {
       drop(Selected);
       Selected = 0;
--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -364,6 +364,14 @@
              : static_cast<std::size_t>(Self->unreadBytes());
 }
 
+bool ByteStream::isQuiet() const {
+  char Byte = 0;
+  return isConnected() &&
+         ::recv(Self->Stream.get_handle(), &Byte, sizeof Byte,
+                MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         wouldBlock();
+}
+
 std::string ByteStream::peerAddress() const {
   ACE_INET_Addr Peer;
   if (Self->Stream.get_remote_addr(Peer) < 0)
--- a/Source/Core/Net/ByteStream.h
+++ b/Source/Core/Net/ByteStream.h
@@ -68,6 +68,9 @@
   std::size_t undeliveredBytes() const;
   // The received bytes that the kernel still holds.
   std::size_t unreadBytes() const;
+  // Whether the connection is established and neither bytes nor a close of the
+  // peer wait to be read.
+  bool isQuiet() const;
   // The IP address of the peer.
   std::string peerAddress() const;
 
--- a/Source/UnitTests/Http/KeepAliveClientTests.cpp
+++ b/Source/UnitTests/Http/KeepAliveClientTests.cpp
@@ -157,6 +157,31 @@
   BOOST_TEST(result(2).Reply.Body == "body");
 }
 
+// A task that is late has not read yet that the server has closed the
+// connection.
+BOOST_FIXTURE_TEST_CASE(RequestIsNotSentOnAConnectionThatTheServerHasClosed,
+                        Fixture) {
+  OnRequest = [](int Number, Net::ByteStream &Peer) {
+    Peer.write(response(std::to_string(Number), "body"));
+  };
+  send("1");
+  result(1);
+  Worker.runAndWait([this] {
+    Connections[0]->Stream.reset();
+    Http::KeepAliveRequest Request;
+    Request.Method = "POST";
+    Request.Target = "/";
+    Request.Fields[EchoFieldName] = "2";
+    Request.EchoedField = EchoFieldName;
+    Request.Timeout = Millis(3000);
+    Client->send(std::move(Request), [this](Http::ClientResult Result) {
+      Results.push_back(std::move(Result));
+    });
+  });
+  BOOST_TEST(result(2).Answered);
+  BOOST_TEST(connectionsOpened() == 2U);
+}
+
 BOOST_FIXTURE_TEST_CASE(FailsOnATruncatedOrMalformedResponse, Fixture) {
   OnRequest = [](int Number, Net::ByteStream &Peer) {
     if (Number == 1) {
