Test that replies of a node that has ended are all delivered

Guards the part of the last change to FrameSocket: with the check for isConnected() after each frame, only the first of the received frames was delivered: Collections size mismatch: 1 != 3

--- a/Source/UnitTests/Wire/FrameSocketTests.cpp
+++ b/Source/UnitTests/Wire/FrameSocketTests.cpp
@@ -1,4 +1,5 @@
 #include <future>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 #include <netinet/in.h>
@@ -6,6 +7,7 @@
 #include <unistd.h>
 
 #include "Common/UniqueFd.h"
+#include "UnitTests/RawSocket.h"
 #include "Wire/FrameSocket.h"
 
 BOOST_AUTO_TEST_SUITE(FrameSockets)
@@ -102,6 +104,57 @@
   BOOST_TEST(Server.CloseReason.get_future().get() == "closed by peer");
 }
 
+// The other node has sent its last replies and ended while this one still
+// sends.
+BOOST_AUTO_TEST_CASE(FailedWriteDeliversAllReceivedFrames) {
+  Kernel::Task Worker("t");
+  Worker.spawn();
+  std::vector<std::string> Frames;
+  std::promise<void> Closed;
+  std::unique_ptr<Wire::FrameSocket> Accepted;
+  std::unique_ptr<Wire::FrameListener> Listener;
+  int Port = 0;
+  Worker.runAndWait([&] {
+    Listener = std::make_unique<Wire::FrameListener>(
+        Worker, "127.0.0.1", 0, [&](const auto &Adopt) {
+          Wire::FrameSocket::Events Events;
+          Events.OnFrame = [&](std::string_view Bytes) {
+            Frames.emplace_back(Bytes);
+          };
+          Events.OnClosed = [&](const std::string &) { Closed.set_value(); };
+          Accepted = Adopt(std::move(Events));
+        });
+    Port = Listener->port();
+  });
+  UnitTests::RawSocket Peer(Port);
+  bool IsAccepted = false;
+  while (!IsAccepted)
+    Worker.runAndWait([&] {
+      if (Accepted)
+        Accepted->send("x");
+      IsAccepted = Accepted != nullptr;
+    });
+  Peer.readUntil("x");
+  Worker.runAndWait([&] { Accepted->send("unread"); });
+  std::this_thread::sleep_for(Common::Millis(20));
+  // The posted job runs just before the one that sends.
+  Worker.runAndWait([&] {
+    Worker.post([&] {
+      Peer.send(std::string("\0\0\0\1a\0\0\0\1b\0\0\0\1c", 15));
+      Peer.close();
+      std::this_thread::sleep_for(Common::Millis(20));
+    });
+    Accepted->send("y");
+  });
+  Closed.get_future().wait();
+  BOOST_TEST(Frames == (std::vector<std::string>{"a", "b", "c"}),
+             boost::test_tools::per_element());
+  Worker.runAndWait([&] {
+    Accepted.reset();
+    Listener.reset();
+  });
+}
+
 BOOST_AUTO_TEST_CASE(ReportsARefusedConnection) {
   Kernel::Task Worker("t");
   Worker.spawn();
