Send what was written last when a stream is destroyed

Bytes that a service had written just before it destroyed its streams were never sent, although the kernel had room for them: a write is sent by a job of the next iteration of the event loop, which found the stream gone. At the deadline of a stop these are the last responses and replies.

The destructor of a stream now hands to the kernel what it takes at once. KeepAliveClient closes its connections explicitly, so that it sends no request that nobody waits for any more.

DestroyedStreamSendsWhatWasWritten failed before: check Peer->readUntil("last") == "last" has failed [ != last]

--- a/Source/Core/Http/KeepAliveClient.cpp
+++ b/Source/Core/Http/KeepAliveClient.cpp
@@ -221,6 +221,11 @@
       : Task(Task), Clock(Task), Limits(Limits) {
     sweep();
   }
+  // Requests that nobody waits for any more are not sent.
+  ~Impl() {
+    for (const auto &[Id, Open] : Connections)
+      Open.Stream->closeNow("the client ends");
+  }
 
   static SteadyTime now() { return std::chrono::steady_clock::now(); }
 
--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -50,7 +50,7 @@
   ~Impl() {
     *Alive = false;
     Watch.reset();
-    if (!Closed && HasSent)
+    if (!Closed && !Connecting)
       endSending();
     Stream.close();
   }
@@ -62,6 +62,7 @@
   void readAll();
   void deliver(std::string_view Bytes);
   void scheduleFlush();
+  bool sendOutgoing();
   void writeAll();
   void failWriting(const std::string &Reason);
   void close(StreamEnd End, const std::string &Reason);
@@ -174,21 +175,27 @@
   }
 }
 
-void ByteStream::Impl::writeAll() {
-  const bool IsSending = !Outgoing.empty();
+// Sends what the kernel takes at once. Returns false if the connection is
+// broken.
+bool ByteStream::Impl::sendOutgoing() {
   while (SentBytes < Outgoing.size()) {
     const ssize_t Count =
         ::send(Stream.get_handle(), Outgoing.data() + SentBytes,
                Outgoing.size() - SentBytes, MSG_NOSIGNAL);
-    if (Count < 0 && wouldBlock())
-      break;
-    if (Count < 0) {
-      failWriting(errnoText());
-      return;
-    }
+    if (Count < 0)
+      return wouldBlock();
     SentBytes += static_cast<std::size_t>(Count);
     HasSent = true;
   }
+  return true;
+}
+
+void ByteStream::Impl::writeAll() {
+  const bool IsSending = !Outgoing.empty();
+  if (!sendOutgoing()) {
+    failWriting(errnoText());
+    return;
+  }
   if (SentBytes == Outgoing.size()) {
     if (Outgoing.capacity() > MaxKeptBytes)
       std::string().swap(Outgoing);
@@ -234,9 +241,11 @@
   return ::ioctl(Stream.get_handle(), FIONREAD, &Count) == 0 ? Count : 0;
 }
 
-// Closing a socket with unread bytes resets the connection, which discards what
-// the kernel has still to deliver.
+// Sends what was written last. Closing a socket with unread bytes resets the
+// connection, which discards what the kernel has still to deliver.
 void ByteStream::Impl::endSending() {
+  if (WriteFailed || !sendOutgoing() || !HasSent)
+    return;
   Stream.close_writer();
   static thread_local std::array<char, ReadChunkBytes> Chunk;
   for (int Chunks = 0;
--- a/Source/Core/Net/ByteStream.h
+++ b/Source/Core/Net/ByteStream.h
@@ -35,6 +35,8 @@
     std::function<void()> OnAllSent = [] {};
   };
 
+  // Sends what the kernel still takes of the bytes written, and closes the
+  // connection in order. closeNow() before it discards them.
   ~ByteStream();
   ByteStream(const ByteStream &) = delete;
   ByteStream &operator=(const ByteStream &) = delete;
--- a/Source/UnitTests/Net/ByteStreamTests.cpp
+++ b/Source/UnitTests/Net/ByteStreamTests.cpp
@@ -113,4 +113,15 @@
   BOOST_TEST((End == Net::StreamEnd::Finished));
 }
 
+// A service that stops sends its last bytes and destroys its streams at once.
+BOOST_FIXTURE_TEST_CASE(DestroyedStreamSendsWhatWasWritten, Fixture) {
+  Worker.runAndWait([this] {
+    Stream->write("last");
+    Stream.reset();
+  });
+  BOOST_TEST(Peer->readUntil("last") == "last");
+  BOOST_TEST(Peer->isClosed());
+  BOOST_TEST(!Peer->wasReset());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
