--- a/Source/Core/Http/KeepAliveClient.cpp
+++ b/Source/Core/Http/KeepAliveClient.cpp
@@ -221,6 +221,11 @@
       : Task(Task), Clock(Task), Limits(Limits) {
     sweep();
   }
+  // Requests that nobody waits for any more are not sent.
+  ~Impl() {
+    for (const auto &[Id, Open] : Connections)
+      Open.Stream->closeNow("the client ends");
+  }
 
   static SteadyTime now() { return std::chrono::steady_clock::now(); }
 
@@ -277,7 +282,7 @@
     Selected = Idle.front();
     Idle.pop_front();
     const Connection &Found = Connections.at(Selected);
-    if (!Found.Stream->isConnected() || Found.Server != Server ||
+    if (!Found.Stream->isQuiet() || Found.Server != Server ||
         now() - Found.IdleSince > Found.IdleTimeout) {
       drop(Selected);
       Selected = 0;
--- a/Source/Core/Net/ByteStream.h
+++ b/Source/Core/Net/ByteStream.h
@@ -35,6 +35,8 @@
     std::function<void()> OnAllSent = [] {};
   };
 
+  // Sends what the kernel still takes of the bytes written, and closes the
+  // connection in order. closeNow() before it discards them.
   ~ByteStream();
   ByteStream(const ByteStream &) = delete;
   ByteStream &operator=(const ByteStream &) = delete;
@@ -68,6 +70,9 @@
   std::size_t undeliveredBytes() const;
   // The received bytes that the kernel still holds.
   std::size_t unreadBytes() const;
+  // Whether the connection is established and neither bytes nor a close of the
+  // peer wait to be read.
+  bool isQuiet() const;
   // The IP address of the peer.
   std::string peerAddress() const;
 
