Let the loss of a connection fail the attempts that were on it, and no others

NodeLost now names the attempts that were pending on the lost connection, and the dispatcher fails exactly these. An attempt that has ended meanwhile, or is named twice, is passed over, where Attempts.at would throw.

--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -162,7 +162,7 @@
     act(Calls.handleReply(Event.Reply, now()));
   }
   void onMessage(NodeLost &Event) {
-    act(Calls.handleConnectionLost(Event.Address, now()));
+    act(Calls.handleConnectionLost(Event.Attempts, now()));
   }
 
   void onMessage(ClaimDecided &Event) {
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -56,8 +56,11 @@
 struct ReplyArrived {
   Routing::CallReply Reply;
 };
+// A connection to a node was lost, and with it the replies to the attempts that
+// were pending on it.
 struct NodeLost {
   Routing::NodeAddress Address;
+  std::vector<Routing::AttemptId> Attempts = {};
 };
 // The data centres that this node cannot reach at the moment.
 struct DataCentresUnreachable {
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -8,7 +8,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
+#include <vector>
 
 #include <spdlog/spdlog.h>
 
@@ -81,7 +81,7 @@
   struct OutboundConnection {
     std::unique_ptr<Wire::FrameSocket> Socket;
     Membership::EchoMonitor Monitor;
-    std::unordered_set<Routing::AttemptId> PendingAttempts;
+    std::set<Routing::AttemptId> PendingAttempts;
     bool WasConnected = false;
     // When the attempt to connect is given up; empty if only its own timeout
     // ends it.
@@ -256,7 +256,9 @@
                  "reason=\"{}\"",
                  Address, Lost.mapped().PendingAttempts.size(), Reason);
     if (Lost.mapped().WasConnected) {
-      Targets.ToIngress.post(NodeLost{Address});
+      const auto &Pending = Lost.mapped().PendingAttempts;
+      Targets.ToIngress.post(
+          NodeLost{Address, {Pending.begin(), Pending.end()}});
       return;
     }
     // The connection was never established, so the calls did not run.
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -127,8 +127,8 @@
   DispatchActions startCall(CallStart &&Start, Common::SteadyTime Now);
   // Ignores a reply to an attempt that is no longer open.
   DispatchActions handleReply(const CallReply &Reply, Common::SteadyTime Now);
-  // Fails all open attempts to a node, whose replies can no longer arrive.
-  DispatchActions handleConnectionLost(const NodeAddress &Node,
+  // Fails the attempts whose replies can no longer arrive.
+  DispatchActions handleConnectionLost(const std::vector<AttemptId> &Lost,
                                        Common::SteadyTime Now);
   // Records a load report that a node sent on its own, not with a reply.
   void handleLoadReport(const std::string &Server, const ServerLoad &Load,
@@ -292,7 +292,6 @@
   std::optional<Common::SteadyTime> StopsAt;
   std::unordered_map<CallId, OpenCall> Calls;
   std::unordered_map<AttemptId, OpenAttempt> Attempts;
-  std::unordered_map<NodeAddress, std::set<AttemptId>> AttemptsByNode;
   DueTimes Deadlines;
   DueTimes Hedges;
   ServerRecords Records;
@@ -492,7 +491,6 @@
   Attempts.emplace(Attempt,
                    OpenAttempt{Call.Start.Call, Server, Now, Call.Kind.Name,
                                Call.AttemptsMade == 1});
-  AttemptsByNode[Server.Node].insert(Attempt);
   Records.attemptSent(Server.Server, Call.Kind.Name, Now);
   CallRequest Request = makeRequest(Call, Attempt, Now);
   Request.Server = Server.Server;
@@ -591,10 +589,6 @@
   if (Entry.empty())
     return std::nullopt;
   OpenAttempt &FinishedAttempt = Entry.mapped();
-  const auto NodeAttempts = AttemptsByNode.find(FinishedAttempt.Server.Node);
-  NodeAttempts->second.erase(Id);
-  if (NodeAttempts->second.empty())
-    AttemptsByNode.erase(NodeAttempts);
   Records.attemptEnded(FinishedAttempt.Server.Server,
                        {FinishedAttempt.SentAt, FinishedAttempt.Kind, Reply},
                        Now);
@@ -848,20 +842,16 @@
 }
 
 template <ChoicePolicy Policy, RetryBudgets Budgets>
-DispatchActions
-Dispatcher<Policy, Budgets>::handleConnectionLost(const NodeAddress &Node,
-                                                  Common::SteadyTime Now) {
+DispatchActions Dispatcher<Policy, Budgets>::handleConnectionLost(
+    const std::vector<AttemptId> &Lost, Common::SteadyTime Now) {
   DispatchActions Actions;
-  const auto Found = AttemptsByNode.find(Node);
-  if (Found == AttemptsByNode.end())
-    return Actions;
-  // A copy, since retries may send new attempts to the same node over a new
-  // connection.
-  const std::set<AttemptId> Lost = Found->second;
   for (const AttemptId Id : Lost) {
+    const auto Found = Attempts.find(Id);
+    if (Found == Attempts.end())
+      continue;
     CallReply LostReply;
     LostReply.Attempt = Id;
-    LostReply.Server = Attempts.at(Id).Server.Server;
+    LostReply.Server = Found->second.Server.Server;
     LostReply.Result = Common::ResultCode::ConnectionLost;
     resolveAttempt(Id, LostReply, Now, Actions);
   }
--- a/Source/UnitTests/Node/PeersServiceTests.cpp
+++ b/Source/UnitTests/Node/PeersServiceTests.cpp
@@ -155,7 +155,10 @@
   const auto First = waitFor<Node::RequestArrived>(ToBackend, 0);
   Worker.runAndWait([&] { Between->drop(false, true); });
   const auto Start = std::chrono::steady_clock::now();
-  BOOST_TEST(waitFor<Node::NodeLost>(ToIngress, 0).Address == Address);
+  const auto Lost = waitFor<Node::NodeLost>(ToIngress, 0);
+  BOOST_TEST(Lost.Address == Address);
+  BOOST_TEST(Lost.Attempts == std::vector<Routing::AttemptId>{1},
+             boost::test_tools::per_element());
   const auto Took = std::chrono::steady_clock::now() - Start;
   BOOST_TEST((Took < Millis(2000)));
   // The next call uses a new connection, and the late reply on the old one is
--- a/Source/UnitTests/Routing/DispatcherTests.cpp
+++ b/Source/UnitTests/Routing/DispatcherTests.cpp
@@ -99,12 +99,45 @@
 
 BOOST_FIXTURE_TEST_CASE(RetriesIdempotentCallsAfterConnectionLoss, Fixture) {
   const auto Read = sent(startCall(1, "/read"));
-  const auto Retried = sent(Calls.handleConnectionLost(Read.Node, Now));
+  const auto Retried =
+      sent(Calls.handleConnectionLost({Read.Request.Attempt}, Now));
   BOOST_TEST(Retried.Node != Read.Node);
   // A late reply to the lost attempt is ignored.
   BOOST_TEST(answer(Read.Request.Attempt, ResultCode::Ok).empty());
 }
 
+// A call on the connection that replaced a lost one ended with it.
+BOOST_FIXTURE_TEST_CASE(LossOfAConnectionSparesCallsOnTheNextOne, Fixture) {
+  const auto Lost = sent(startCall(1, "/write"));
+  auto Spared = sent(startCall(2, "/write"));
+  for (CallId Id = 3; Spared.Node != Lost.Node; ++Id)
+    Spared = sent(startCall(Id, "/write"));
+  const auto Actions = Calls.handleConnectionLost({Lost.Request.Attempt}, Now);
+  BOOST_REQUIRE_EQUAL(Actions.size(), 1);
+  BOOST_TEST(answered(Actions).Call == 1);
+  BOOST_TEST(
+      (answered(answer(Spared.Request.Attempt, ResultCode::Ok)).Reply.Result ==
+       ResultCode::Ok));
+}
+
+BOOST_FIXTURE_TEST_CASE(CallEndsOnceWhenBothItsAttemptsAreLost, Fixture) {
+  Calls.useSet(6, Config::ObjectSetBuilder()
+                      .input("f", "[service s]\n[retry r]\nattempts = 2\n"
+                                  "budget-percent = 100\nhedge-after = 10ms\n"
+                                  "[kind read]\nidempotent = yes\n"
+                                  "deadline = 1s\nretry = r\n"
+                                  "[route a]\nprefix = /read\nservice = s\n"
+                                  "kind = read\n")
+                      .build());
+  const auto First = sent(startCall(1, "/read"));
+  const auto Hedge = sent(Calls.runDue(Now + Millis(20)));
+  const std::vector<AttemptId> Lost{
+      First.Request.Attempt, Hedge.Request.Attempt, First.Request.Attempt};
+  const auto Actions = Calls.handleConnectionLost(Lost, Now + Millis(30));
+  BOOST_REQUIRE_EQUAL(Actions.size(), 1);
+  BOOST_TEST((answered(Actions).Reply.Result == ResultCode::ConnectionLost));
+}
+
 BOOST_FIXTURE_TEST_CASE(StopsAtMaxAttempts, Fixture) {
   auto Last = sent(startCall(1, "/read"));
   Last = sent(answer(Last.Request.Attempt, ResultCode::QueueFull));
