Await replies to unrepeatable calls on a connection whose echoes time out

The connection is now replaced as before within two seconds, for new calls and for those that may be repeated, which are cancelled on the old one. The old one is kept and read for the attempts that must not be repeated, until the last has its reply, is cancelled, or the connection ends. At most four are kept for a node, and the unsent bytes of all count towards the share of the peer. A reply is passed on only if its attempt is pending on the connection that it came on. The dispatcher counts the silence against the server, as it did the loss, so that new calls prefer others.

SilentConnectionIsReplacedWithinTwoSeconds holds as it is, for calls that may be repeated; the new tests say the same of the others.

--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -165,6 +165,10 @@
     act(Calls.handleConnectionLost(Event.Attempts, now()));
   }
 
+  void onMessage(const NodeSilent &Event) {
+    Calls.handleConnectionSilent(Event.Attempts, now());
+  }
+
   void onMessage(ClaimDecided &Event) {
     const bool IsWon =
         Event.Code == Common::ResultCode::Ok && !Event.RecordedReply;
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -62,6 +62,12 @@
   Routing::NodeAddress Address;
   std::vector<Routing::AttemptId> Attempts = {};
 };
+// A connection to a node was silent for too long. Replies to these attempts may
+// still arrive, but new calls are better sent elsewhere.
+struct NodeSilent {
+  Routing::NodeAddress Address;
+  std::vector<Routing::AttemptId> Attempts = {};
+};
 // The data centres that this node cannot reach at the moment.
 struct DataCentresUnreachable {
   std::set<std::string> DataCentres;
@@ -93,7 +99,7 @@
 };
 using IngressMessage =
     std::variant<ConfigAccepted, ServersChanged, ReplyArrived, NodeLost,
-                 ClaimDecided, CallerServiceChanged, LoadReceived,
+                 NodeSilent, ClaimDecided, CallerServiceChanged, LoadReceived,
                  DataCentresUnreachable, VersionPolicyChanged, QuotaGranted>;
 
 struct SendRequest {
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -27,8 +28,8 @@
 namespace Node {
 
 // Owns the connections to other nodes: for each node one connection in either
-// direction. A connection whose echoes time out is closed and replaced by a new
-// one; frames that still arrive on the old connection are not read.
+// direction. A connection whose echoes time out is replaced by a new one. The
+// old one is kept for the replies to calls that must not be repeated.
 template <Kernel::MessageSink<IngressMessage> Ingress,
           Kernel::MessageSink<BackendMessage> Backend>
 class PeersService {
@@ -71,6 +72,7 @@
                      Origin, Connection.Socket->unsentBytes());
     Listener.reset();
     Outbound.clear();
+    Retired.clear();
     Inbound.clear();
   }
 
@@ -78,10 +80,19 @@
   static constexpr Common::Millis TickInterval{100};
   static constexpr int MaxMissedIdleEchoes = 3;
 
+  // Bounds the sockets that a node which stays silent takes up.
+  static constexpr std::ptrdiff_t MaxRetiredPerNode = 4;
+
+  using ConnectionId = std::uint64_t;
+
+  struct PendingAttempt {
+    bool Idempotent = true;
+  };
   struct OutboundConnection {
+    ConnectionId Id = 0;
     std::unique_ptr<Wire::FrameSocket> Socket;
     Membership::EchoMonitor Monitor;
-    std::set<Routing::AttemptId> PendingAttempts;
+    std::map<Routing::AttemptId, PendingAttempt> PendingAttempts;
     bool WasConnected = false;
     // When the attempt to connect is given up; empty if only its own timeout
     // ends it.
@@ -89,6 +100,11 @@
     // Empty if it is that of this node, or unknown.
     std::string DataCentre;
   };
+  // A connection that was replaced while calls were pending on it.
+  struct RetiredConnection {
+    Routing::NodeAddress Address;
+    OutboundConnection Connection;
+  };
   struct InboundConnection {
     std::unique_ptr<Wire::FrameSocket> Socket;
     Common::SteadyTime LastReceived;
@@ -123,13 +139,14 @@
     }
     OutboundConnection &Connection =
         outbound(Command.Address, otherDataCentre(Command.DataCentre));
-    const std::size_t Unsent = Connection.Socket->unsentBytes();
+    const std::size_t Unsent = unsentBytes(Command.Address, Connection);
     if (Unsent > 0 && Unsent + Command.Request.Body.size() >
                           percentOf(Settings.MemoryLimit, PeerPercent)) {
       refuse(Command.Request.Attempt, Common::ResultCode::QueueFull);
       return;
     }
-    Connection.PendingAttempts.insert(Command.Request.Attempt);
+    Connection.PendingAttempts.emplace(
+        Command.Request.Attempt, PendingAttempt{Command.Request.Idempotent});
     if (Command.ConnectLimit && !Connection.WasConnected &&
         !Connection.ConnectBy)
       Connection.ConnectBy = now() + *Command.ConnectLimit;
@@ -142,12 +159,31 @@
       return;
     }
     const auto Found = Outbound.find(Command.Address);
-    if (Found == Outbound.end())
-      return; // The server-side node ended the call when the connection was
-              // lost.
-    Found->second.PendingAttempts.erase(Command.Attempt);
-    Found->second.Socket->send(
-        Wire::encodeFrame(Wire::CancelCall{Command.Attempt}));
+    if (Found != Outbound.end() && cancel(Found->second, Command.Attempt))
+      return;
+    for (auto &[Id, Old] : Retired)
+      if (Old.Address == Command.Address &&
+          cancel(Old.Connection, Command.Attempt))
+        return;
+    // The server-side node ended the call when the connection was lost.
+  }
+
+  // Whether the attempt was pending on the connection.
+  static bool cancel(OutboundConnection &Connection,
+                     Routing::AttemptId Attempt) {
+    if (Connection.PendingAttempts.erase(Attempt) == 0)
+      return false;
+    Connection.Socket->send(Wire::encodeFrame(Wire::CancelCall{Attempt}));
+    return true;
+  }
+
+  std::size_t unsentBytes(const Routing::NodeAddress &Address,
+                          const OutboundConnection &Current) const {
+    std::size_t Result = Current.Socket->unsentBytes();
+    for (const auto &[Id, Old] : Retired)
+      if (Old.Address == Address)
+        Result += Old.Connection.Socket->unsentBytes();
+    return Result;
   }
 
   void onMessage(SendReply &Command) {
@@ -202,9 +238,14 @@
     const auto Found = Outbound.find(Address);
     if (Found != Outbound.end())
       return Found->second;
+    const ConnectionId Id = NextConnection++;
     Wire::FrameSocket::Events Events;
-    Events.OnFrame = [this, Address](std::string_view Bytes) {
-      handleOutboundFrame(Outbound.at(Address), Bytes);
+    Events.OnFrame = [this, Address, Id](std::string_view Bytes) {
+      const auto Old = Retired.find(Id);
+      if (Old == Retired.end())
+        handleOutboundFrame(Outbound.at(Address), Bytes);
+      else
+        handleRetiredFrame(Old->second.Connection, Bytes);
     };
     Events.OnConnected = [this, Address] {
       OutboundConnection &Connected = Outbound.at(Address);
@@ -213,8 +254,12 @@
       spdlog::info("dependency=node state=connected address={}", Address);
       Backoffs.erase(Address);
     };
-    Events.OnClosed = [this, Address](const std::string &Reason) {
-      onOutboundLost(Address, Reason);
+    Events.OnClosed = [this, Address, Id](const std::string &Reason) {
+      const auto Old = Retired.extract(Id);
+      if (Old.empty())
+        onOutboundLost(Address, Reason);
+      else
+        reportLost(Address, Old.mapped().Connection, Reason);
     };
     auto Socket = Wire::FrameSocket::connect(Task, Address, std::move(Events));
     Socket->send(Wire::encodeFrame(
@@ -223,7 +268,8 @@
         Settings.EchoInterval, Settings.IdleEchoInterval, Settings.EchoLimit};
     return Outbound
         .emplace(Address,
-                 OutboundConnection{std::move(Socket),
+                 OutboundConnection{Id,
+                                    std::move(Socket),
                                     Membership::EchoMonitor(Limits, now()),
                                     {},
                                     false,
@@ -236,8 +282,7 @@
     recordSignOfLife(From.DataCentre);
     Wire::Frame Content = Wire::decodeFrame(Bytes);
     if (auto *Reply = std::get_if<Routing::CallReply>(&Content)) {
-      From.PendingAttempts.erase(Reply->Attempt);
-      Targets.ToIngress.post(ReplyArrived{std::move(*Reply)});
+      handleReply(From, *Reply);
     } else if (auto *Report = std::get_if<Wire::LoadReport>(&Content)) {
       Targets.ToIngress.post(
           LoadReceived{std::move(Report->Server), Report->Load});
@@ -247,26 +292,100 @@
     }
   }
 
+  // What else arrives on a retired connection may be out of date.
+  void handleRetiredFrame(OutboundConnection &From, std::string_view Bytes) {
+    recordSignOfLife(From.DataCentre);
+    Wire::Frame Content = Wire::decodeFrame(Bytes);
+    if (auto *Reply = std::get_if<Routing::CallReply>(&Content))
+      handleReply(From, *Reply);
+    else if (const auto *Echo = std::get_if<Wire::Echo>(&Content);
+             Echo && Echo->IsAnswer)
+      From.Monitor.onAnswer(Echo->Sequence);
+  }
+
+  void handleReply(OutboundConnection &From, Routing::CallReply &Reply) {
+    if (From.PendingAttempts.erase(Reply.Attempt) > 0)
+      Targets.ToIngress.post(ReplyArrived{std::move(Reply)});
+  }
+
   void onOutboundLost(const Routing::NodeAddress &Address,
                       const std::string &Reason) {
     const auto Lost = Outbound.extract(Address);
-    if (Lost.empty())
-      return;
+    if (!Lost.empty())
+      reportLost(Address, Lost.mapped(), Reason);
+  }
+
+  void reportLost(const Routing::NodeAddress &Address,
+                  const OutboundConnection &Lost, const std::string &Reason) {
     spdlog::warn("dependency=node state=lost address={} pending-attempts={} "
                  "reason=\"{}\"",
-                 Address, Lost.mapped().PendingAttempts.size(), Reason);
-    if (Lost.mapped().WasConnected) {
-      const auto &Pending = Lost.mapped().PendingAttempts;
-      Targets.ToIngress.post(
-          NodeLost{Address, {Pending.begin(), Pending.end()}});
+                 Address, Lost.PendingAttempts.size(), Reason);
+    if (Lost.WasConnected) {
+      NodeLost Report{Address};
+      for (const auto &[Attempt, Pending] : Lost.PendingAttempts)
+        Report.Attempts.push_back(Attempt);
+      Targets.ToIngress.post(std::move(Report));
       return;
     }
     // The connection was never established, so the calls did not run.
     Backoffs.try_emplace(Address, Random()).first->second.failed(now());
-    for (const Routing::AttemptId Attempt : Lost.mapped().PendingAttempts)
+    for (const auto &[Attempt, Pending] : Lost.PendingAttempts)
       refuse(Attempt);
   }
 
+  // Ends the use of a connection whose echoes timed out. Without a fault, this
+  // happens when the node or this one lacks processor time. So the replies to
+  // calls that cannot be sent elsewhere are still awaited.
+  void retire(const Routing::NodeAddress &Address) {
+    auto Silent = Outbound.extract(Address);
+    if (Silent.empty())
+      return;
+    OutboundConnection &Old = Silent.mapped();
+    std::vector<Routing::AttemptId> Kept;
+    NodeLost Report{Address};
+    for (const auto &[Attempt, Pending] : Old.PendingAttempts)
+      (Pending.Idempotent ? Report.Attempts : Kept).push_back(Attempt);
+    if (!Old.WasConnected || Kept.empty()) {
+      reportLost(Address, Old, "echo timed out");
+      return;
+    }
+    spdlog::warn("dependency=node state=silent address={} pending-attempts={} "
+                 "kept-attempts={} reason=\"echo timed out\"",
+                 Address, Old.PendingAttempts.size(), Kept.size());
+    for (const Routing::AttemptId Attempt : Report.Attempts)
+      cancel(Old, Attempt);
+    const ConnectionId Id = Old.Id;
+    Retired.emplace(Id, RetiredConnection{Address, std::move(Old)});
+    if (!Report.Attempts.empty())
+      Targets.ToIngress.post(std::move(Report));
+    Targets.ToIngress.post(NodeSilent{Address, std::move(Kept)});
+    dropOldestRetired(Address);
+  }
+
+  void dropOldestRetired(const Routing::NodeAddress &Address) {
+    const auto IsOfNode = [&](const auto &Entry) {
+      return Entry.second.Address == Address;
+    };
+    const auto Count = std::ranges::count_if(Retired, IsOfNode);
+    if (Count <= MaxRetiredPerNode)
+      return;
+    const auto Oldest =
+        Retired.extract(std::ranges::find_if(Retired, IsOfNode));
+    reportLost(Address, Oldest.mapped().Connection, "too many are silent");
+  }
+
+  // Goes on with the echoes, so that the node does not take this side for lost.
+  void checkRetired() {
+    std::erase_if(Retired, [](const auto &Entry) {
+      return Entry.second.Connection.PendingAttempts.empty();
+    });
+    for (auto &[Id, Old] : Retired)
+      if (const auto Step = Old.Connection.Monitor.tick(false, now());
+          Step.SendEcho)
+        Old.Connection.Socket->send(
+            Wire::encodeFrame(Wire::Echo{*Step.SendEcho, false}));
+  }
+
   void refuse(Routing::AttemptId Attempt,
               Common::ResultCode Code = Common::ResultCode::PeerUnreachable) {
     Routing::CallReply Refused;
@@ -323,6 +442,7 @@
     Clock.after(TickInterval, [this] { tick(); });
     shareLoad();
     checkOutbound();
+    checkRetired();
     checkInbound();
     checkDataCentres();
   }
@@ -421,7 +541,7 @@
         TimedOut.push_back(Address);
     }
     for (const Routing::NodeAddress &Address : TimedOut)
-      onOutboundLost(Address, "echo timed out");
+      retire(Address);
     for (const Routing::NodeAddress &Address : NeverConnected)
       onOutboundLost(Address, "no connection in time");
   }
@@ -453,6 +573,8 @@
   Routing::NodeAddress OwnAddress;
   std::unique_ptr<Wire::FrameListener> Listener;
   std::unordered_map<Routing::NodeAddress, OutboundConnection> Outbound;
+  // In the order in which they were opened.
+  std::map<ConnectionId, RetiredConnection> Retired;
   std::unordered_map<Routing::NodeAddress, Membership::Backoff> Backoffs;
   std::unordered_map<OriginId, InboundConnection> Inbound;
   Membership::DataCentreReachability Reachability;
@@ -465,6 +587,7 @@
   ShareLoad LatestLoad;
   Common::SteadyTime LastInboundCheck = now();
   OriginId NextOrigin = LocalOrigin + 1;
+  ConnectionId NextConnection = 1;
 };
 
 } // namespace Node
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -130,6 +130,14 @@
   // Fails the attempts whose replies can no longer arrive.
   DispatchActions handleConnectionLost(const std::vector<AttemptId> &Lost,
                                        Common::SteadyTime Now);
+  // Counts the attempts as failures of their servers, but goes on waiting for
+  // the replies.
+  void handleConnectionSilent(const std::vector<AttemptId> &Silent,
+                              Common::SteadyTime Now) {
+    for (const AttemptId Id : Silent)
+      if (const auto Found = Attempts.find(Id); Found != Attempts.end())
+        Records.attemptSilent(Found->second.Server.Server, Now);
+  }
   // Records a load report that a node sent on its own, not with a reply.
   void handleLoadReport(const std::string &Server, const ServerLoad &Load,
                         Common::SteadyTime Now) {
--- a/Source/Core/Routing/ServerRecords.cpp
+++ b/Source/Core/Routing/ServerRecords.cpp
@@ -148,6 +148,15 @@
     updateLatency(Stats, CancelledLatencyFactor * Latency, Now);
 }
 
+void ServerRecords::attemptSilent(const std::string &Server,
+                                  Common::SteadyTime Now) {
+  const auto Found = Records.find(Server);
+  if (Found == Records.end())
+    return;
+  ++Found->second.ConsecutiveFailures;
+  Found->second.LastFailure = Now;
+}
+
 void ServerRecords::handleLoadReport(const std::string &Server,
                                      const ServerLoad &Load,
                                      Common::SteadyTime Now) {
--- a/Source/Core/Routing/ServerRecords.h
+++ b/Source/Core/Routing/ServerRecords.h
@@ -76,6 +76,9 @@
   void attemptEnded(const std::string &Server, const AttemptOutcome &Outcome,
                     Common::SteadyTime Now);
 
+  // Counts a failure of the server, while its reply is still awaited.
+  void attemptSilent(const std::string &Server, Common::SteadyTime Now);
+
   void handleLoadReport(const std::string &Server, const ServerLoad &Load,
                         Common::SteadyTime Now);
 
--- a/Source/UnitTests/Node/PeersServiceTests.cpp
+++ b/Source/UnitTests/Node/PeersServiceTests.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <concepts>
+
 #include <boost/test/unit_test.hpp>
 
 #include "Common/ScopeGuard.h"
@@ -26,7 +29,10 @@
                        if (!Connection->DropRequests)
                          Connection->ServerSide->send(Bytes);
                      },
-                     [](const auto &) {}});
+                     [Connection](const auto &) {
+                       if (!Connection->DropRequests)
+                         Connection->ServerSide.reset();
+                     }});
           Connection->ServerSide = Wire::FrameSocket::connect(
               Task, "127.0.0.1:" + std::to_string(To),
               {[Connection](std::string_view Bytes) {
@@ -43,6 +49,7 @@
       Connection->DropReplies = Replies;
     }
   }
+  void close() { Connections.clear(); }
   std::string address() const {
     return "127.0.0.1:" + std::to_string(Listener.port());
   }
@@ -80,7 +87,12 @@
   std::unique_ptr<Relay> Between;
   int ServerPort = freePort();
 
-  Fixture() {
+  Millis EchoInterval;
+  Millis EchoLimit;
+
+  explicit Fixture(Millis EchoInterval = Millis(400),
+                   Millis EchoLimit = Millis(1200))
+      : EchoInterval(EchoInterval), EchoLimit(EchoLimit) {
     Worker.spawn();
     Worker.runAndWait([&] {
       ServerSide = start(ServerPort, Unused, ToBackend);
@@ -102,9 +114,9 @@
     Node::NodeSettings Settings;
     Settings.Address = "127.0.0.1";
     Settings.PeerPort = Port;
-    Settings.EchoInterval = Millis(400);
+    Settings.EchoInterval = EchoInterval;
     Settings.IdleEchoInterval = Millis(10'000);
-    Settings.EchoLimit = Millis(1200);
+    Settings.EchoLimit = EchoLimit;
     auto Result = std::make_unique<Peers>(
         Kernel::Context{Worker, Names}, Settings, [&Ingress, &Backend] {
           return Peers::Sinks{IngressSink(Ingress), BackendSink(Backend)};
@@ -114,13 +126,17 @@
   }
 
   void request(const std::string &Address, Routing::AttemptId Id,
-               const std::string &DataCentre = "") {
+               const std::string &DataCentre = "", bool Idempotent = true) {
     Worker.runAndWait([&] {
       Routing::CallRequest Request;
       Request.Attempt = Id;
+      Request.Idempotent = Idempotent;
       CallerSide->handle(Node::SendRequest{Address, Request, DataCentre});
     });
   }
+  void requestOnce(const std::string &Address, Routing::AttemptId Id) {
+    request(Address, Id, "", false);
+  }
   // Answers a request that arrived at the server-side node.
   void answer(const Node::RequestArrived &Arrived) {
     Worker.runAndWait([&] {
@@ -129,6 +145,50 @@
       ServerSide->handle(Node::SendReply{Arrived.Origin, Reply});
     });
   }
+  // The node to which the request was passed on.
+  Node::RequestArrived arrived(Routing::AttemptId Id) {
+    return waitFor<Node::RequestArrived>(ToBackend, [&](const auto &Message) {
+      return Message.Request.Attempt == Id;
+    });
+  }
+  std::size_t repliesTo(Routing::AttemptId Id) {
+    return count<Node::ReplyArrived>(
+        [&](const auto &Message) { return Message.Reply.Attempt == Id; });
+  }
+  std::size_t lossesOf(Routing::AttemptId Id) {
+    return count<Node::NodeLost>([&](const auto &Message) {
+      return std::ranges::count(Message.Attempts, Id) > 0;
+    });
+  }
+  template <class Content, class Predicate>
+  std::size_t count(Predicate IsCounted) {
+    std::size_t Result = 0;
+    Worker.runAndWait([&] {
+      for (const Node::IngressMessage &Message : ToIngress)
+        if (const auto *Value = std::get_if<Content>(&Message))
+          Result += IsCounted(*Value) ? 1 : 0;
+    });
+    return Result;
+  }
+  // The first message of this kind for which the predicate is true.
+  template <class Content, class Message, class Predicate>
+  requires std::predicate<Predicate, const Content &>
+      Content waitFor(const std::vector<Message> &Sent, Predicate IsAwaited) {
+    const auto End =
+        std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    std::optional<Content> Found;
+    while (!Found && std::chrono::steady_clock::now() < End) {
+      Worker.runAndWait([&] {
+        for (const Message &Candidate : Sent)
+          if (const auto *Value = std::get_if<Content>(&Candidate);
+              Value && !Found && IsAwaited(*Value))
+            Found = *Value;
+      });
+      std::this_thread::sleep_for(Millis(1));
+    }
+    BOOST_REQUIRE(Found.has_value());
+    return *Found;
+  }
   template <class Content, class Message>
   Content waitFor(const std::vector<Message> &Sent, std::size_t Index) {
     const auto End =
@@ -183,6 +243,103 @@
   BOOST_TEST(waitFor<Node::ReplyArrived>(ToIngress, 1).Reply.Attempt == 2);
 }
 
+// Calls that must not be repeated ended when the other node was silent for a
+// while, although its server was at work on them.
+BOOST_FIXTURE_TEST_CASE(SilenceEndsNoCallThatMustNotBeRepeated, Fixture) {
+  const std::string Address = Between->address();
+  requestOnce(Address, 1);
+  request(Address, 2);
+  const auto First = arrived(1);
+  const auto Repeatable = arrived(2);
+  Worker.runAndWait([&] { Between->drop(false, true); });
+  const auto Start = std::chrono::steady_clock::now();
+  const auto Lost = waitFor<Node::NodeLost>(ToIngress, 0);
+  BOOST_TEST((std::chrono::steady_clock::now() - Start < Millis(2000)));
+  BOOST_TEST(Lost.Attempts == std::vector<Routing::AttemptId>{2},
+             boost::test_tools::per_element());
+  // New calls go over a new connection.
+  Worker.runAndWait([&] { Between->drop(false, false); });
+  requestOnce(Address, 3);
+  const auto Next = arrived(3);
+  BOOST_TEST(Next.Origin != First.Origin);
+  // The server-side node no longer works at the call that is repeated.
+  const auto Cancelled = waitFor<Node::CancelArrived>(
+      ToBackend, [](const auto &) { return true; });
+  BOOST_TEST(Cancelled.Origin == Repeatable.Origin);
+  BOOST_TEST(Cancelled.Attempt == 2);
+  answer(Repeatable);
+  answer(First);
+  answer(First);
+  answer(Next);
+  waitFor<Node::ReplyArrived>(ToIngress, [](const auto &Message) {
+    return Message.Reply.Attempt == 3;
+  });
+  waitFor<Node::ReplyArrived>(ToIngress, [](const auto &Message) {
+    return Message.Reply.Attempt == 1;
+  });
+  std::this_thread::sleep_for(Millis(300));
+  BOOST_TEST(repliesTo(1) == 1U);
+  BOOST_TEST(repliesTo(2) == 0U);
+  BOOST_TEST(lossesOf(1) == 0U);
+  BOOST_TEST(count<Node::NodeSilent>([](const auto &Message) {
+               return Message.Attempts == std::vector<Routing::AttemptId>{1};
+             }) == 1U);
+  // Without a pending call the old connection is closed.
+  waitFor<Node::OriginLost>(ToBackend, [&](const auto &Message) {
+    return Message.Origin == First.Origin;
+  });
+}
+
+BOOST_FIXTURE_TEST_CASE(CancelsOnTheConnectionThatWasSilent, Fixture) {
+  requestOnce(Between->address(), 1);
+  const auto First = arrived(1);
+  Worker.runAndWait([&] { Between->drop(false, true); });
+  waitFor<Node::NodeSilent>(ToIngress, [](const auto &) { return true; });
+  request(Between->address(), 2);
+  arrived(2);
+  Worker.runAndWait([&] {
+    CallerSide->handle(Node::SendCancel{Between->address(), 1});
+  });
+  const auto Cancelled = waitFor<Node::CancelArrived>(
+      ToBackend, [](const auto &) { return true; });
+  BOOST_TEST(Cancelled.Origin == First.Origin);
+  BOOST_TEST(Cancelled.Attempt == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(CloseOfASilentConnectionEndsItsCalls, Fixture) {
+  requestOnce(Between->address(), 1);
+  arrived(1);
+  Worker.runAndWait([&] { Between->drop(false, true); });
+  waitFor<Node::NodeSilent>(ToIngress, [](const auto &) { return true; });
+  BOOST_TEST(lossesOf(1) == 0U);
+  Worker.runAndWait([&] { Between->close(); });
+  waitFor<Node::NodeLost>(ToIngress, [](const auto &Message) {
+    return Message.Attempts == std::vector<Routing::AttemptId>{1};
+  });
+}
+
+namespace {
+
+struct ImpatientFixture : Fixture {
+  ImpatientFixture() : Fixture(Millis(100), Millis(300)) {}
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(KeepsFewSilentConnectionsToANode, ImpatientFixture) {
+  constexpr Routing::AttemptId Kept = 4;
+  for (Routing::AttemptId Id = 1; Id <= Kept + 2; ++Id) {
+    requestOnce(Between->address(), Id);
+    arrived(Id);
+    Worker.runAndWait([&] { Between->drop(true, true); });
+    waitFor<Node::NodeSilent>(ToIngress, [&](const auto &Message) {
+      return Message.Attempts == std::vector<Routing::AttemptId>{Id};
+    });
+  }
+  for (Routing::AttemptId Id = 1; Id <= Kept + 2; ++Id)
+    BOOST_TEST(lossesOf(Id) == (Id <= 2 ? 1U : 0U));
+}
+
 BOOST_FIXTURE_TEST_CASE(DetectsAConnectionThatDropsRequests, Fixture) {
   for (const bool Replies : {false, true}) {
     const std::size_t Seen = ToIngress.size();
