--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -160,7 +160,11 @@
     act(Calls.handleReply(Event.Reply, now()));
   }
   void onMessage(NodeLost &Event) {
-    act(Calls.handleConnectionLost(Event.Address, now()));
+    act(Calls.handleConnectionLost(Event.Attempts, now()));
+  }
+
+  void onMessage(const NodeSilent &Event) {
+    Calls.handleConnectionSilent(Event.Attempts, now());
   }
 
   void onMessage(ClaimDecided &Event) {
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -56,8 +56,17 @@
 struct ReplyArrived {
   Routing::CallReply Reply;
 };
+// A connection to a node was lost, and with it the replies to the attempts that
+// were pending on it.
 struct NodeLost {
   Routing::NodeAddress Address;
+  std::vector<Routing::AttemptId> Attempts = {};
+};
+// A connection to a node was silent for too long. Replies to these attempts may
+// still arrive, but new calls are better sent elsewhere.
+struct NodeSilent {
+  Routing::NodeAddress Address;
+  std::vector<Routing::AttemptId> Attempts = {};
 };
 // The data centres that this node cannot reach at the moment.
 struct DataCentresUnreachable {
@@ -90,7 +99,7 @@
 };
 using IngressMessage =
     std::variant<ConfigAccepted, ServersChanged, ReplyArrived, NodeLost,
-                 ClaimDecided, CallerServiceChanged, LoadReceived,
+                 NodeSilent, ClaimDecided, CallerServiceChanged, LoadReceived,
                  DataCentresUnreachable, VersionPolicyChanged, QuotaGranted>;
 
 struct SendRequest {
