Leave the other services time when a call outlasts a planned stop

A call that began before SIGTERM and lasts longer than the stop held the drain of the server side until the limit, so that the services after it were stopped with no time: the ingress did not refuse and write out what it had, and the connections to other nodes ended with what was unsent.

The drain of the server side now ends at the moment until which it admits calls, 0.4 s before the host stops. The call runs on, and its reply is still sent if it comes before the end.

On the code before:

BackendServices/DrainLeavesTheOtherServicesTime: critical check DrainedAt.has_value() has failed

The other new tests held before: a second SIGTERM and a SIGHUP during a stop are kept pending and do nothing, a SIGTERM during the start stops the host after it, the services after one that takes too long are still drained and stopped, and a lost node does not hold the drain.

--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -66,9 +67,14 @@
 
   // Completes the admitted calls. Calls are still admitted for ServeOnLimit,
   // since some nodes have not yet noticed that this one leaves; later ones are
-  // refused as not run.
+  // refused as not run. Calls that outlast the node, which began before it was
+  // told to stop, do not delay the drains of the other services.
   void drain(std::function<void()> Done) {
     OnDrained = std::move(Done);
+    if (StopsAt)
+      Clock.after(std::max<Common::Duration>(*StopsAt - now(),
+                                             Common::Duration::zero()),
+                  [this] { finishDrain(); });
     if (Settings.ServeOnLimit.count() == 0)
       refuseNewCalls();
     else
@@ -409,7 +415,12 @@
   }
 
   void finishDrainIfIdle() {
-    if (OnDrained && IsClosed && Queue.isIdle())
+    if (IsClosed && Queue.isIdle())
+      finishDrain();
+  }
+
+  void finishDrain() {
+    if (OnDrained)
       std::exchange(OnDrained, nullptr)();
   }
 
--- a/Source/UnitTests/Kernel/HostTests.cpp
+++ b/Source/UnitTests/Kernel/HostTests.cpp
@@ -1,7 +1,6 @@
-#include <variant>
-
 #include <csignal>
-#include <optional>
+#include <thread>
+#include <variant>
 
 #include <boost/test/unit_test.hpp>
 #include <unistd.h>
@@ -206,4 +205,102 @@
   }
 }
 
+namespace {
+
+// A service that drains when OnDrain has returned; never without it.
+class SlowService {
+public:
+  using Message = int;
+  SlowService(Trace &Events, std::function<void()> OnDrain)
+      : Events(Events), OnDrain(std::move(OnDrain)) {}
+
+  void start() {}
+  void handle(int) {}
+  void drain(const std::function<void()> &Done) {
+    Events.push_back("drain slow");
+    if (!OnDrain)
+      return;
+    OnDrain();
+    Done();
+  }
+  void stop() { Events.push_back("stop slow"); }
+
+private:
+  Trace &Events;
+  std::function<void()> OnDrain;
+};
+
+void addSlow(Kernel::HostBuilder &Builder, Trace &Events,
+             const std::function<void()> &OnDrain) {
+  Builder.service<SlowService>(
+      "slow", "t", {"base"}, [&Events, OnDrain](Kernel::Context) {
+        return std::make_unique<SlowService>(Events, OnDrain);
+      });
+}
+
+const Trace SlowStop = {"start base", "drain slow", "drain base", "stop slow",
+                        "stop base"};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(DrainsTheOtherServicesWhenOneTakesTooLong) {
+  Trace Events;
+  Kernel::HostBuilder Builder;
+  Builder.task("t");
+  addTraced(Builder, Events, "base", {});
+  addSlow(Builder, Events, nullptr);
+  Kernel::Host Running = Builder.build();
+  Running.start();
+  const auto Before = std::chrono::steady_clock::now();
+  Running.stop(Common::Millis(100));
+  BOOST_TEST(
+      (std::chrono::steady_clock::now() - Before < Common::Millis(1000)));
+  BOOST_TEST(Events == SlowStop, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(SignalsDuringAStopDoNotCutIt) {
+  Trace Events;
+  Kernel::HostBuilder Builder;
+  Builder.task("t");
+  addTraced(Builder, Events, "base", {});
+  addSlow(Builder, Events, [] {
+    ::kill(::getpid(), SIGTERM);
+    ::kill(::getpid(), SIGHUP);
+    std::this_thread::sleep_for(Common::Millis(50));
+  });
+  Kernel::Host Running = Builder.build();
+  Running.start();
+  Running.stop(Common::Millis(1000));
+  BOOST_TEST(Events == SlowStop, boost::test_tools::per_element());
+  // Takes the pending signals away from the tests that follow.
+  sigset_t Pending;
+  sigemptyset(&Pending);
+  sigaddset(&Pending, SIGTERM);
+  sigaddset(&Pending, SIGHUP);
+  const timespec NoWait = {};
+  int Received = 0;
+  while (sigtimedwait(&Pending, nullptr, &NoWait) > 0)
+    ++Received;
+  BOOST_TEST(Received == 2);
+}
+
+BOOST_AUTO_TEST_CASE(SignalDuringTheStartStopsTheHostAfterIt) {
+  Trace Events;
+  Kernel::HostBuilder Builder;
+  Builder.task("t");
+  addTraced(Builder, Events, "base", {});
+  Builder.service<TracedService>(
+      "top", "t", {"base"}, [&Events](Kernel::Context) {
+        ::kill(::getpid(), SIGTERM);
+        return std::make_unique<TracedService>(Events, "top");
+      });
+  Kernel::Host Running = Builder.build();
+  Running.start();
+  Running.waitForStopSignal();
+  Running.stop(Common::Millis(1000));
+  const Trace Expected = {"start base", "start top", "drain top",
+                          "drain base", "stop top",  "stop base"};
+  BOOST_TEST(Events == Expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Node/BackendServiceTests.cpp
+++ b/Source/UnitTests/Node/BackendServiceTests.cpp
@@ -399,4 +399,26 @@
   BOOST_TEST((*DrainedAt - Start >= ServeOnLimit));
 }
 
+// Guards against a call that began before the stop and outlasts it: it must not
+// take the time in which the other services send their last responses.
+BOOST_FIXTURE_TEST_CASE(DrainLeavesTheOtherServicesTime, Fixture) {
+  request(1, false, "s", Common::Millis(5000));
+  waitFor([&] { return OpenExchanges.size() == 1; });
+  std::optional<Common::SteadyTime> DrainedAt;
+  const Common::SteadyTime Deadline =
+      std::chrono::steady_clock::now() + Common::Millis(700);
+  Worker.runAndWait([&] {
+    Tested->prepareStop(Deadline);
+    Tested->drain([&] { DrainedAt = std::chrono::steady_clock::now(); });
+    BOOST_TEST(!DrainedAt.has_value());
+  });
+  std::this_thread::sleep_until(Deadline);
+  Worker.runAndWait([&] {
+    BOOST_REQUIRE(DrainedAt.has_value());
+    BOOST_TEST((*DrainedAt <= Deadline - Common::Millis(200)));
+    Server->respond(OpenExchanges[0], {200, {}, "whole"});
+  });
+  BOOST_TEST(reply(0).Body == "whole");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Node/IngressServiceTests.cpp
+++ b/Source/UnitTests/Node/IngressServiceTests.cpp
@@ -161,6 +161,30 @@
   BOOST_TEST(Received.size() > Bytes);
 }
 
+// The loss of another node during a stop ends the calls there and the drain.
+BOOST_FIXTURE_TEST_CASE(DrainEndsAlthoughAnotherNodeIsLost, Fixture) {
+  UnitTests::RawSocket Open(Settings.CallPort);
+  Open.send(request("/long"));
+  BOOST_TEST(Open.readUntil("\r\n\r\n", Millis(200)).empty());
+  bool Drained = false;
+  Worker.runAndWait([&] {
+    Tested->prepareStop(std::chrono::steady_clock::now() + Millis(3000));
+    Tested->drain([&] { Drained = true; });
+    const auto &Sent = std::get<Node::SendRequest>(ToPeers[0]);
+    Tested->handle(Node::NodeLost{"10.0.0.1:1", {Sent.Request.Attempt}});
+  });
+  BOOST_TEST(Open.readUntil("outcome unknown").find("ConnectionLost") !=
+             std::string::npos);
+  BOOST_TEST(Open.isClosed());
+  const auto End = std::chrono::steady_clock::now() + Millis(2000);
+  bool IsDrained = false;
+  while (!IsDrained && std::chrono::steady_clock::now() < End) {
+    Worker.runAndWait([&] { IsDrained = Drained; });
+    std::this_thread::sleep_for(Millis(1));
+  }
+  BOOST_TEST(IsDrained);
+}
+
 namespace {
 
 // The same node with a set that has a tenant with a quota.
