Answer pipelined requests that are discarded for lack of memory

A caller that pipelines lost a request that the node had read whole and held back: when there was no memory for what followed, the connection was closed after the responses to the open requests, and the request got none.

The first discarded request is now answered with 503, after the responses to the open ones; discard() has become a case of reject().

RequestThatIsDiscardedGetsAResponse failed before: check Read.find("HTTP/1.1 503") != npos has failed

--- a/Source/Core/Http/EdgeClosing.cpp
+++ b/Source/Core/Http/EdgeClosing.cpp
@@ -76,27 +76,14 @@
   }
 }
 
-// Closes the connection after the responses to the open requests. What came
-// behind them has not been read.
-void EdgeServer::Impl::discard(ConnectionId Id, Connection &Peer) {
-  if (Peer.Open.empty()) {
-    reject(Id, Peer, ServiceUnavailable);
-    return;
-  }
-  Peer.Open.back().KeepAlive = false;
-  Peer.Discarding = true;
-  Peer.RequestParser.reset();
-  Peer.HeldBytes = 0;
-  Peer.Held.reset();
-  Peer.PendingRejection.reset();
-  std::string().swap(Peer.Incoming);
-}
-
+// Responds with Status after the responses to the open requests, and closes the
+// connection. What came behind the open requests is discarded.
 void EdgeServer::Impl::reject(ConnectionId Id, Connection &Peer, int Status) {
   if (!Peer.Open.empty()) {
     // Earlier requests are answered first.
     Peer.RequestParser.reset();
     Peer.HeldBytes = 0;
+    Peer.Held.reset();
     std::string().swap(Peer.Incoming);
     Peer.Discarding = true;
     Peer.PendingRejection = Status;
--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -96,7 +96,7 @@
   if (Peer.State == Phase::Closing || mayParse(Peer))
     return;
   if (!mayHold(Id, Peer))
-    discard(Id, Peer);
+    reject(Id, Peer, ServiceUnavailable);
   else if (Peer.Incoming.size() > MaxPipelinedBytes)
     Peer.Stream->setReading(false);
 }
--- a/Source/Core/Http/EdgeServerState.h
+++ b/Source/Core/Http/EdgeServerState.h
@@ -34,7 +34,6 @@
   // Returns true if a request was complete.
   bool parse(ConnectionId Id, Edge::Connection &Peer);
   void continueIfExpected(Edge::Connection &Peer);
-  void discard(ConnectionId Id, Edge::Connection &Peer);
   void dispatch(ConnectionId Id, Edge::Connection &Peer);
   void pass(ConnectionId Id, Edge::Connection &Peer,
             Edge::OpenExchange Exchange, Request Received);
--- a/Source/UnitTests/Http/EdgeClosingTests.cpp
+++ b/Source/UnitTests/Http/EdgeClosingTests.cpp
@@ -243,4 +243,32 @@
              LargeBytes);
 }
 
+namespace {
+
+struct SmallFixture : Fixture {
+  SmallFixture() : Fixture({.BufferedBytes = 64 << 10}) {}
+};
+
+} // namespace
+
+// A request that was read whole was dropped without a response when there was
+// no memory for those behind it.
+BOOST_FIXTURE_TEST_CASE(RequestThatIsDiscardedGetsAResponse, SmallFixture) {
+  RawSocket Caller(Port);
+  Caller.send(request("/hold") +
+              "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  BOOST_REQUIRE(waitFor([this] { return Held.size() == 1; }));
+  std::string Behind;
+  while (Behind.size() < 100 << 10)
+    Behind += request("/3");
+  Caller.send(Behind);
+  std::this_thread::sleep_for(Millis(50));
+  Worker.runAndWait([this] { Server->respond(Held[0], {200, {}, "held"}); });
+  const std::string Read = Caller.readUntil("HTTP/1.1 503");
+  BOOST_TEST(Read.find("held") < Read.find("HTTP/1.1 503"));
+  BOOST_TEST(Read.find("HTTP/1.1 503") != std::string::npos);
+  BOOST_TEST(Read.find("done") == std::string::npos);
+  BOOST_TEST(Caller.isClosed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
