Await a server as long as the caller-side node does

The caller-side node waits for the answer of a call in flight for AnswerSlack beyond the deadline (60 ms on the platform), as the server's own answer says more than a timeout. The node beside the server gave the call up 30 ms after the deadline, so that an answer between the two was discarded and the caller got 502 (OutcomeUnknown). Found by reading; no run of whole processes shows it.

The node beside the server now waits for twice that slack, and the cancellation of the caller-side node ends the call before. Price: the slot of a call that must not be repeated, at a server that does not answer, is held for 90 ms longer.

--- a/Source/Core/Node/BackendService.h
+++ b/Source/Core/Node/BackendService.h
@@ -10,6 +10,7 @@
 #include "Admission/LaneOrder.h"
 #include "Admission/PauseDetector.h"
 #include "Admission/SlotQueue.h"
+#include "Config/ObjectSet.h"
 #include "Http/KeepAliveClient.h"
 #include "Kernel/Host.h"
 #include "Node/CallResponse.h"
@@ -99,9 +100,10 @@
     // where it arrived.
     std::size_t Bytes = 0;
   };
-  // How long after the deadline the server may still report by itself that the
-  // deadline has passed.
-  static constexpr Common::Millis ServerSlack{30};
+  // How long after the deadline the server may still answer. The caller-side
+  // node waits for an answer until shortly after the deadline, and cancels the
+  // call then; its cancellation arrives before this time is over.
+  static constexpr Common::Millis ServerSlack = 2 * Config::DefaultAnswerSlack;
   // Leaves time to send the last replies before the node stops, and to answer
   // the calls that the server makes while it runs the last ones.
   static constexpr Common::Millis ReplyTime{400};
@@ -234,8 +236,11 @@
       return; // Cancelling it would leave its outcome unknown, and the server
               // may continue to run it, so its slot stays busy until the
               // deadline.
-    if (Call.Transfer)
+    if (Call.Transfer) {
       Transport->cancel(*Call.Transfer);
+      if (now() >= Call.LatestDeadline)
+        noteUnanswered(Call);
+    }
     forget(Id);
     if (!WasQueued)
       act(Queue.onFinished(Id, now(), Admission::CallOutcome::Aborted));
@@ -289,17 +294,29 @@
         std::chrono::duration_cast<Common::Micros>(Call.Started - Call.Arrived);
     Reply.ServiceTime =
         std::chrono::duration_cast<Common::Micros>(now() - Call.Started);
+    noteOutcome(Call, Reply);
+    // Hands the slot to the next call before the reply is written out.
+    act(Queue.onFinished(Id, now(), endingOf(Reply.Result)));
+    reply(Id, std::move(Reply));
+    shareLoad();
+    finishDrainIfIdle();
+  }
+
+  void noteOutcome(const OpenCall &Call, const Routing::CallReply &Reply) {
     const bool Failed = Reply.Result != Common::ResultCode::Ok ||
                         Reply.HttpStatus >= Routing::MinServerErrorStatus;
     if (!Common::isNotRun(Reply.Result))
       Watch.callEnded(Call.Request.Kind, watchedOutcome(Reply),
                       Reply.ServiceTime, now());
     FailureShare += ((Failed ? 1.0 : 0.0) - FailureShare) / FailureWindow;
-    // Hands the slot to the next call before the reply is written out.
-    act(Queue.onFinished(Id, now(), endingOf(Reply.Result)));
-    reply(Id, std::move(Reply));
-    shareLoad();
-    finishDrainIfIdle();
+  }
+
+  void noteUnanswered(const OpenCall &Call) {
+    Routing::CallReply Missing;
+    Missing.Result = Common::ResultCode::OutcomeUnknown;
+    Missing.ServiceTime =
+        std::chrono::duration_cast<Common::Micros>(now() - Call.Started);
+    noteOutcome(Call, Missing);
   }
 
   // Some backend servers state how long work takes on their machine.
--- a/Source/UnitTests/Node/BackendServiceTests.cpp
+++ b/Source/UnitTests/Node/BackendServiceTests.cpp
@@ -157,6 +157,36 @@
   waitFor([&] { return OpenExchanges.size() == 2; });
 }
 
+// Guards against a server's answer that is given up on while the caller-side
+// node still waits for it.
+BOOST_FIXTURE_TEST_CASE(ServerIsAwaitedAsLongAsTheCallerSideNodeWaits,
+                        Fixture) {
+  const Common::Millis Remaining(100);
+  request(1, false, "s", Remaining);
+  const Routing::CallReply GivenUp = reply(0);
+  BOOST_TEST((GivenUp.Result == Common::ResultCode::OutcomeUnknown));
+  BOOST_TEST(
+      (GivenUp.QueueTime + GivenUp.ServiceTime >=
+       Common::Micros(Remaining) + Common::Micros(Config::DefaultAnswerSlack)));
+}
+
+// Guards against a server that answers nothing and is not seen to fail, since
+// the caller-side nodes cancel its calls first.
+BOOST_FIXTURE_TEST_CASE(CallCancelledAfterItsDeadlineCountsAsFailed, Fixture) {
+  const Common::Millis Remaining(100);
+  request(1, true, "s", Remaining);
+  waitFor([&] { return OpenExchanges.size() == 1; });
+  std::this_thread::sleep_for(Remaining);
+  Worker.runAndWait([&] { Tested->handle(Node::CancelArrived{3, 1}); });
+  request(2, true);
+  waitFor([&] { return OpenExchanges.size() == 2; });
+  Worker.runAndWait([&] {
+    Server->respond(OpenExchanges[1], {200, {}, "whole"});
+  });
+  waitFor([&] { return !replies().empty() && replies().back().Attempt == 2; });
+  BOOST_TEST(replies().back().Load.FailurePercent > 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(RequestDelayedByAPauseIsNotDispatched, Fixture) {
   const Common::Millis Pause(400);
   Worker.runAndWait([&] {
