--- a/Tools/scenarios/planned-stop.py
+++ b/Tools/scenarios/planned-stop.py
@@ -661,6 +661,35 @@
         await asyncio.sleep(2)
 
 
+async def neighbour_of_newcomer(trial):
+    """A node beside servers stops while the node that takes the requests starts,
+    so that the newcomer may not have heard of the leaving."""
+    chosen = names({"front": 3, "payouts": 2})
+    await trial.start(chosen, routes(chosen))
+    beside = trial.of("payouts")[0]
+    for offset in (-0.3, 0.0, 0.3, 1.0):
+        newcomer = trial.of("front")[0]
+        newcomer.signal(signal.SIGTERM)
+        while newcomer.process.poll() is None:
+            await asyncio.sleep(0.02)
+        at = now() + 1
+
+        async def start():
+            await asyncio.sleep(max(0, at + offset - now()))
+            newcomer.start()
+            trial.pin(newcomer)
+
+        starting = asyncio.ensure_future(start())
+        make = post(trial, newcomer, "payouts", (2.2, 2.8), (2.9, 3.0))
+        trial.call_around(newcomer, at, -1.2, 4, 40, make)
+        await asyncio.sleep(at - now())
+        await trial.stop(beside)
+        await starting
+        await asyncio.gather(*trial.tasks)
+        trial.tasks.clear()
+        await asyncio.sleep(2)
+
+
 async def long_calls(trial):
     """Servers are at work for longer than the process drains, but not in the last
     sixth of the grace."""
@@ -836,6 +865,7 @@
     "neighbour-alone-long": lambda trial: neighbour(trial, (0,), LONG, alone=True),
     "neighbour-only-server": lambda trial: neighbour(trial, (0, -0.4, 0.4), (0.02, 2.8), servers=1),
     "neighbour-remote": lambda trial: neighbour(trial, (0, -0.4, 0.4), (0.02, 2.8), remote=True),
+    "neighbour-of-newcomer": neighbour_of_newcomer,
     "long-calls": long_calls,
     "server-calls": server_calls,
     "server-calls-late": lambda trial: server_calls(trial, 5.0, 0.4, 0.1, True),
@@ -891,7 +921,11 @@
         options.folder = options.keep or folder
         os.makedirs(options.folder, exist_ok=True)
         use_program(os.path.join(folder, "program"), options)
-        sys.exit(asyncio.run(play(Trial(options), CASES[options.case])))
+        loop = asyncio.new_event_loop()
+        code = loop.run_until_complete(play(Trial(options), CASES[options.case]))
+    sys.stdout.flush()
+    # Tasks of the stand-ins still wait, and some ignore that they are cancelled.
+    os._exit(code)
 
 
 main()
