--- a/Tools/scenarios/planned-stop.py
+++ b/Tools/scenarios/planned-stop.py
@@ -115,7 +115,10 @@
                 if nested.status != 200:
                     status = 500
             await asyncio.sleep(max(0, min(work, end - now())))
-            status = 504 if now() >= end else status
+            if now() >= end:
+                # A server that is short of processor time reports this late.
+                status = 504
+                await asyncio.sleep(float(query.get("late", 0)))
             self.signature += 1
             run.signature = "%s.%d" % (self.id, self.signature)
             run.body = body_of(request_id, int(query.get("size", 200)))
@@ -690,6 +693,38 @@
         await asyncio.sleep(2)
 
 
+async def paused_pair(trial):
+    """Both nodes of a call pause for a second. What was sent just before its end
+    has hardly waited. The rule excuses losses around a pause."""
+    chosen = names({"front": 2, "payouts": 1})
+    await trial.start(chosen, routes(chosen))
+    pair = trial.of("front")[0], trial.of("payouts")[0]
+    at = now() + 1
+    make = post(trial, pair[0], "payouts", (2.3, 2.5), (2.9, 3.0), late=0.2)
+    trial.call_around(pair[0], at, -0.9, 0.95, 10, make, once=True)
+    await asyncio.sleep(at - now())
+    for number, wait in ((signal.SIGSTOP, 1), (signal.SIGCONT, 0)):
+        for node in pair:
+            node.signal(number)
+        await asyncio.sleep(wait)
+
+
+async def late_signal(trial):
+    """The process handles SIGTERM 1.5 s late, as one that is short of processor
+    time. The rule excuses losses around a pause."""
+    chosen = names({"front": 2, "payouts": 2})
+    await trial.start(chosen, routes(chosen))
+    node = trial.of("front")[0]
+    at = now() + 3
+    trial.call_around(node, at, 2.5, 4.5, 60, post(trial, node, "payouts", (1.5, 2.8)))
+    await asyncio.sleep(at - now())
+    node.signal(signal.SIGSTOP)
+    stopping = asyncio.ensure_future(trial.stop(node, restart=False))
+    await asyncio.sleep(1.5)
+    node.signal(signal.SIGCONT)
+    await stopping
+
+
 async def long_calls(trial):
     """Servers are at work for longer than the process drains, but not in the last
     sixth of the grace."""
@@ -866,6 +901,8 @@
     "neighbour-only-server": lambda trial: neighbour(trial, (0, -0.4, 0.4), (0.02, 2.8), servers=1),
     "neighbour-remote": lambda trial: neighbour(trial, (0, -0.4, 0.4), (0.02, 2.8), remote=True),
     "neighbour-of-newcomer": neighbour_of_newcomer,
+    "paused-pair": paused_pair,
+    "late-signal": late_signal,
     "long-calls": long_calls,
     "server-calls": server_calls,
     "server-calls-late": lambda trial: server_calls(trial, 5.0, 0.4, 0.1, True),
