Refuse calls that never left this node when their connection is lost

Callers saw 502 for calls that no other node had seen and that could have been sent elsewhere. A request on a connection that the kernel or the codec had just closed, before the close was handled, was written to nothing; one whose frame still waited behind others was dropped with the socket. Both were reported as ConnectionLost, as though they may have run.

FrameSocket counts the bytes queued and those handed to the kernel. An attempt whose frame begins after the last byte handed over is refused as not run: its socket is closed, so that frame is never sent. A request that finds its connection closed goes over a new one; the closed one is set aside until its close is reported with its reason.

--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -87,6 +87,8 @@
 
   struct PendingAttempt {
     bool Idempotent = true;
+    // The position of its frame among the bytes queued on the connection.
+    std::uint64_t FrameStart = 0;
   };
   struct OutboundConnection {
     ConnectionId Id = 0;
@@ -100,7 +102,7 @@
     // Empty if it is that of this node, or unknown.
     std::string DataCentre;
   };
-  // A connection that was replaced while calls were pending on it.
+  // A connection that was replaced while calls may have been pending on it.
   struct RetiredConnection {
     Routing::NodeAddress Address;
     OutboundConnection Connection;
@@ -146,7 +148,9 @@
       return;
     }
     Connection.PendingAttempts.emplace(
-        Command.Request.Attempt, PendingAttempt{Command.Request.Idempotent});
+        Command.Request.Attempt,
+        PendingAttempt{Command.Request.Idempotent,
+                       Connection.Socket->queuedBytes()});
     if (Command.ConnectLimit && !Connection.WasConnected &&
         !Connection.ConnectBy)
       Connection.ConnectBy = now() + *Command.ConnectLimit;
@@ -236,8 +240,14 @@
   OutboundConnection &outbound(const Routing::NodeAddress &Address,
                                const std::string &DataCentre) {
     const auto Found = Outbound.find(Address);
-    if (Found != Outbound.end())
-      return Found->second;
+    if (Found != Outbound.end()) {
+      const OutboundConnection &Current = Found->second;
+      if (!Current.WasConnected || Current.Socket->isConnected())
+        return Found->second;
+      // Its close has not been reported yet.
+      auto Closed = Outbound.extract(Found);
+      setAside(Address, std::move(Closed.mapped()));
+    }
     const ConnectionId Id = NextConnection++;
     Wire::FrameSocket::Events Events;
     Events.OnFrame = [this, Address, Id](std::string_view Bytes) {
@@ -315,6 +325,8 @@
       reportLost(Address, Lost.mapped(), Reason);
   }
 
+  // The socket must be closed already, or before anything else is sent on it:
+  // what was not sent counts as not run.
   void reportLost(const Routing::NodeAddress &Address,
                   const OutboundConnection &Lost, const std::string &Reason) {
     spdlog::warn("dependency=node state=lost address={} pending-attempts={} "
@@ -323,7 +335,10 @@
     if (Lost.WasConnected) {
       NodeLost Report{Address};
       for (const auto &[Attempt, Pending] : Lost.PendingAttempts)
-        Report.Attempts.push_back(Attempt);
+        if (Pending.FrameStart >= Lost.Socket->sentBytes())
+          refuse(Attempt);
+        else
+          Report.Attempts.push_back(Attempt);
       Targets.ToIngress.post(std::move(Report));
       return;
     }
@@ -354,14 +369,18 @@
                  Address, Old.PendingAttempts.size(), Kept.size());
     for (const Routing::AttemptId Attempt : Report.Attempts)
       cancel(Old, Attempt);
-    const ConnectionId Id = Old.Id;
-    Retired.emplace(Id, RetiredConnection{Address, std::move(Old)});
+    setAside(Address, std::move(Old));
     if (!Report.Attempts.empty())
       Targets.ToIngress.post(std::move(Report));
     Targets.ToIngress.post(NodeSilent{Address, std::move(Kept)});
     dropOldestRetired(Address);
   }
 
+  void setAside(const Routing::NodeAddress &Address, OutboundConnection Old) {
+    const ConnectionId Id = Old.Id;
+    Retired.emplace(Id, RetiredConnection{Address, std::move(Old)});
+  }
+
   void dropOldestRetired(const Routing::NodeAddress &Address) {
     const auto IsOfNode = [&](const auto &Entry) {
       return Entry.second.Address == Address;
--- a/Source/Core/Wire/FrameSocket.cpp
+++ b/Source/Core/Wire/FrameSocket.cpp
@@ -24,6 +24,7 @@
   Events Handlers;
   std::unique_ptr<Net::ByteStream> Stream;
   std::string Incoming;
+  std::uint64_t QueuedBytes = 0;
   // The reason why this side closed the connection, empty if it did not.
   std::string FailureReason;
   // Set to false by the destructor. Copies let a function that runs callbacks
@@ -102,8 +103,10 @@
   std::string Length;
   for (int Shift = 24; Shift >= 0; Shift -= 8)
     Length.push_back(static_cast<char>(Content.size() >> Shift & 0xff));
+  const std::size_t Before = Self->Stream->unsentBytes();
   Self->Stream->write(Length);
   Self->Stream->write(Content);
+  Self->QueuedBytes += Self->Stream->unsentBytes() - Before;
 }
 
 bool FrameSocket::isConnected() const { return Self->Stream->isConnected(); }
@@ -112,6 +115,12 @@
   return Self->Stream->unsentBytes();
 }
 
+std::uint64_t FrameSocket::queuedBytes() const { return Self->QueuedBytes; }
+
+std::uint64_t FrameSocket::sentBytes() const {
+  return Self->QueuedBytes - Self->Stream->unsentBytes();
+}
+
 FrameListener::FrameListener(Kernel::Task &Owner, const std::string &Address,
                              int Port, OnAccepted Handler)
     : Socket(
--- a/Source/Core/Wire/FrameSocket.h
+++ b/Source/Core/Wire/FrameSocket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -42,6 +43,11 @@
   void send(std::string_view Content);
   bool isConnected() const;
   std::size_t unsentBytes() const;
+  // All bytes of the frames that were queued, and those of them that were
+  // handed to the kernel. A frame that begins at or after sentBytes() was not
+  // sent, and is not sent any more once the connection is closed.
+  std::uint64_t queuedBytes() const;
+  std::uint64_t sentBytes() const;
 
 private:
   friend class FrameListener;
--- a/Source/UnitTests/Node/PeersServiceTests.cpp
+++ b/Source/UnitTests/Node/PeersServiceTests.cpp
@@ -2,8 +2,11 @@
 #include <concepts>
 
 #include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include "Common/ScopeGuard.h"
+#include "Common/UniqueFd.h"
 #include "Node/PeersService.h"
 #include "UnitTests/RecordingSink.h"
 
@@ -12,7 +15,22 @@
 namespace {
 
 using Common::Millis;
-using IngressSink = UnitTests::RecordingSink<Node::IngressMessage>;
+// Records the messages to the ingress, and runs OnPosted after each.
+struct IngressSink : UnitTests::RecordingSink<Node::IngressMessage> {
+  IngressSink(std::vector<Node::IngressMessage> &Messages,
+              std::function<void()> &OnPosted)
+      : RecordingSink(Messages), OnPosted(&OnPosted) {}
+  IngressSink() = default;
+
+  Kernel::PostResult post(Node::IngressMessage Content) {
+    const auto Result = RecordingSink::post(std::move(Content));
+    if (OnPosted && *OnPosted)
+      (*OnPosted)();
+    return Result;
+  }
+
+  std::function<void()> *OnPosted = nullptr;
+};
 using BackendSink = UnitTests::RecordingSink<Node::BackendMessage>;
 using Peers = Node::PeersService<IngressSink, BackendSink>;
 
@@ -65,6 +83,29 @@
   Wire::FrameListener Listener;
 };
 
+// Lets peers connect, but reads nothing. Its connections are reset when it is
+// destroyed.
+class DeafListener {
+public:
+  DeafListener() : Fd(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Local = {};
+    socklen_t Size = sizeof Local;
+    Local.sin_family = AF_INET;
+    Local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(::bind(Fd.value(), reinterpret_cast<sockaddr *>(&Local),
+                         sizeof Local) == 0);
+    BOOST_REQUIRE(::listen(Fd.value(), 1) == 0);
+    ::getsockname(Fd.value(), reinterpret_cast<sockaddr *>(&Local), &Size);
+    Port = ntohs(Local.sin_port);
+  }
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(Port); }
+
+private:
+  Common::UniqueFd Fd;
+  int Port = 0;
+};
+
 int freePort() {
   Kernel::Task Worker("port");
   Worker.spawn();
@@ -79,6 +120,7 @@
 struct Fixture {
   Kernel::Task Worker{"t"};
   Kernel::Registry Names;
+  std::function<void()> OnPosted;
   std::vector<Node::IngressMessage> ToIngress;
   std::vector<Node::IngressMessage> Unused;
   std::vector<Node::BackendMessage> ToBackend;
@@ -89,6 +131,7 @@
 
   Millis EchoInterval;
   Millis EchoLimit;
+  std::size_t MemoryLimit = 2'000'000'000;
 
   explicit Fixture(Millis EchoInterval = Millis(400),
                    Millis EchoLimit = Millis(1200))
@@ -117,9 +160,11 @@
     Settings.EchoInterval = EchoInterval;
     Settings.IdleEchoInterval = Millis(10'000);
     Settings.EchoLimit = EchoLimit;
+    Settings.MemoryLimit = MemoryLimit;
     auto Result = std::make_unique<Peers>(
-        Kernel::Context{Worker, Names}, Settings, [&Ingress, &Backend] {
-          return Peers::Sinks{IngressSink(Ingress), BackendSink(Backend)};
+        Kernel::Context{Worker, Names}, Settings, [this, &Ingress, &Backend] {
+          return Peers::Sinks{IngressSink(Ingress, OnPosted),
+                              BackendSink(Backend)};
         });
     Result->start();
     return Result;
@@ -361,6 +406,85 @@
   BOOST_TEST(waitFor<Node::ReplyArrived>(ToIngress, 1).Reply.Attempt == 8);
 }
 
+// A call that found its connection closed, before the close was handled, was
+// taken for one that may have run.
+BOOST_FIXTURE_TEST_CASE(CallOnAConnectionJustClosedGoesOverANewOne, Fixture) {
+  std::vector<std::unique_ptr<Wire::FrameSocket>> Accepted;
+  std::vector<Wire::Frame> OnSecond;
+  std::unique_ptr<Wire::FrameListener> Listener;
+  Worker.runAndWait([&] {
+    Listener = std::make_unique<Wire::FrameListener>(
+        Worker, "127.0.0.1", 0, [&](const auto &Adopt) {
+          const bool IsSecond = !Accepted.empty();
+          Accepted.push_back(Adopt({[&, IsSecond](std::string_view Bytes) {
+                                      if (IsSecond)
+                                        OnSecond.push_back(
+                                            Wire::decodeFrame(Bytes));
+                                    },
+                                    [](const auto &) {}}));
+        });
+  });
+  const Common::ScopeGuard Cleanup([&] {
+    Worker.runAndWait([&] {
+      Accepted.clear();
+      Listener.reset();
+    });
+  });
+  const std::string Address = "127.0.0.1:" + std::to_string(Listener->port());
+  requestOnce(Address, 1);
+  // The report comes in one read with a frame that closes the connection, so
+  // the request is handled between the close and the notice of it.
+  OnPosted = [&] {
+    OnPosted = nullptr;
+    Worker.post([&] {
+      Routing::CallRequest Request;
+      Request.Attempt = 2;
+      Request.Idempotent = false;
+      CallerSide->handle(Node::SendRequest{Address, Request});
+    });
+  };
+  bool IsAccepted = false;
+  while (!IsAccepted)
+    Worker.runAndWait([&] { IsAccepted = !Accepted.empty(); });
+  Worker.runAndWait([&] {
+    Accepted[0]->send(Wire::encodeFrame(Wire::LoadReport{"s", {}}));
+    Accepted[0]->send(std::string(Wire::MaxFrameBytes + 1, 'x'));
+  });
+  waitFor<Node::NodeLost>(ToIngress, [](const auto &Message) {
+    return Message.Attempts == std::vector<Routing::AttemptId>{1};
+  });
+  waitFor<Routing::CallRequest>(
+      OnSecond, [](const auto &Request) { return Request.Attempt == 2; });
+  BOOST_TEST(lossesOf(2) == 0U);
+}
+
+// Calls that still waited to be sent when their connection was lost were taken
+// for calls that may have run.
+BOOST_FIXTURE_TEST_CASE(CallsThatWereNotSentAreReportedAsNotRun, Fixture) {
+  constexpr Routing::AttemptId Count = 6;
+  // Nothing is read from the connection.
+  std::optional<DeafListener> Peer(std::in_place);
+  for (Routing::AttemptId Id = 1; Id <= Count; ++Id)
+    Worker.runAndWait([&] {
+      Routing::CallRequest Request;
+      Request.Attempt = Id;
+      Request.Idempotent = false;
+      Request.Body = std::string(Wire::MaxFrameBodyBytes, 'x');
+      CallerSide->handle(Node::SendRequest{Peer->address(), Request});
+    });
+  std::this_thread::sleep_for(Millis(200));
+  Peer.reset();
+  waitFor<Node::ReplyArrived>(ToIngress, [&](const auto &Message) {
+    return Message.Reply.Attempt == Count &&
+           Message.Reply.Result == Common::ResultCode::PeerUnreachable;
+  });
+  waitFor<Node::NodeLost>(ToIngress, [&](const auto &Message) {
+    return !Message.Attempts.empty() && Message.Attempts.front() == 1;
+  });
+  for (Routing::AttemptId Id = 1; Id <= Count; ++Id)
+    BOOST_TEST(repliesTo(Id) + lossesOf(Id) == 1U);
+}
+
 // A data centre is cut off. Each connection into it notices that by itself only
 // after its own time-out, so that calls used to wait for one node after the
 // other.
