Show that a stop cuts calls of nodes in another data centre

When all nodes of a data centre stop at a time, those of another do not hear that they leave and send to them until they are gone. The node beside the server admits such calls until 3.2 s after SIGTERM, and ends at 5.5 s with their servers at work: callers get 502.

--- a/Tools/scenarios/planned-stop.py
+++ b/Tools/scenarios/planned-stop.py
@@ -693,6 +693,24 @@
         await asyncio.sleep(2)
 
 
+async def remote_group(trial, size):
+    """Several or all nodes of another data centre, beside servers, stop at a time."""
+    chosen = [("a-front-%d" % index, "zone-a", "front") for index in (1, 2, 3)]
+    chosen += [("b-payouts-%d" % index, "zone-b", "payouts") for index in range(1, 7)]
+    await trial.start(chosen, routes(chosen))
+    for _ in range(3):
+        at = now() + 2
+        for taker in trial.of("front"):
+            make = post(trial, taker, "payouts", (1.8, 2.8), (2.9, 3.0))
+            trial.call_around(taker, at, 1, 5, 20, make)
+        await asyncio.sleep(at - now())
+        group = trial.random.sample(trial.of("payouts"), size)
+        await asyncio.gather(*(trial.stop(node) for node in group))
+        await asyncio.gather(*trial.tasks)
+        trial.tasks.clear()
+        await asyncio.sleep(trial.random.uniform(0, 1))
+
+
 async def paused_pair(trial):
     """Both nodes of a call pause for a second. What was sent just before its end
     has hardly waited. The rule excuses losses around a pause."""
@@ -901,6 +919,8 @@
     "neighbour-only-server": lambda trial: neighbour(trial, (0, -0.4, 0.4), (0.02, 2.8), servers=1),
     "neighbour-remote": lambda trial: neighbour(trial, (0, -0.4, 0.4), (0.02, 2.8), remote=True),
     "neighbour-of-newcomer": neighbour_of_newcomer,
+    "remote-group": lambda trial: remote_group(trial, 3),
+    "remote-data-centre": lambda trial: remote_group(trial, 6),
     "paused-pair": paused_pair,
     "late-signal": late_signal,
     "long-calls": long_calls,
