--- a/Tools/scenarios/planned-stop.py
+++ b/Tools/scenarios/planned-stop.py
@@ -919,7 +919,7 @@
     "neighbour-only-server": lambda trial: neighbour(trial, (0, -0.4, 0.4), (0.02, 2.8), servers=1),
     "neighbour-remote": lambda trial: neighbour(trial, (0, -0.4, 0.4), (0.02, 2.8), remote=True),
     "neighbour-of-newcomer": neighbour_of_newcomer,
-    "remote-group": lambda trial: remote_group(trial, 3),
+    "remote-group": lambda trial: remote_group(trial, trial.options.group),
     "remote-data-centre": lambda trial: remote_group(trial, 6),
     "paused-pair": paused_pair,
     "late-signal": late_signal,
@@ -965,6 +965,8 @@
                         help="busy processes that share one core with the nodes")
     parser.add_argument("--pause", type=float, default=0,
                         help="stops each node's process for so long in each second")
+    parser.add_argument("--group", type=int, default=3,
+                        help="how many of 6 nodes stop at a time in remote-group")
     parser.add_argument("--no-slow-links", dest="slow_links", action="store_false",
                         help="leaves slow receivers out of a soak")
     parser.add_argument("--bin", default=os.path.join(ROOT, "build/release/bin"))
