Bound the replies that other nodes have not taken

A reply above 64 KiB for a peer that has its share of 6 % unread is replaced by OutcomeUnknown, since the call has run. When all peers together would pass 12 %, the connection of the one with the most is closed, and its callers get an unknown outcome as well.

--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <spdlog/spdlog.h>
@@ -80,6 +81,8 @@
   static constexpr Common::Millis TickInterval{100};
   static constexpr int MaxMissedIdleEchoes = 3;
 
+  // Replies up to this size do not give way to those that a peer has not taken.
+  static constexpr std::size_t SmallReplyBytes = 64 << 10;
   // Bounds the sockets that a node which stays silent takes up.
   static constexpr std::ptrdiff_t MaxRetiredPerNode = 4;
 
@@ -205,7 +208,53 @@
       return;
     }
     Found->second.Sharing.onLoadSent(Command.Reply.Load, now());
-    Found->second.Socket->send(Wire::encodeFrame(Command.Reply));
+    std::string Encoded = Wire::encodeFrame(Command.Reply);
+    if (!makeRoom(Command.Origin, Encoded.size())) {
+      spdlog::warn("event=reply-replaced id={} origin={} bytes={} "
+                   "reason=\"the peer does not take its replies\"",
+                   Command.CorrelationId, Command.Origin, Encoded.size());
+      Encoded = Wire::encodeFrame(withoutContent(Command.Reply));
+    }
+    Found->second.Socket->send(Encoded);
+  }
+
+  // Load pattern: a node stands still while the calls that it sent are
+  // answered. Whether the reply may be queued. Closes connections of other
+  // peers if these hold the share of all.
+  bool makeRoom(OriginId Origin, std::size_t Bytes) {
+    const std::size_t Own = Inbound.at(Origin).Socket->unsentBytes();
+    if (Own > 0 && Bytes > SmallReplyBytes &&
+        Own + Bytes > percentOf(Settings.MemoryLimit, PeerPercent))
+      return false;
+    for (;;) {
+      std::size_t Total = 0;
+      std::pair<std::size_t, OriginId> Fullest;
+      for (const auto &[Peer, Connection] : Inbound) {
+        const std::size_t Unsent = Connection.Socket->unsentBytes();
+        Total += Unsent;
+        Fullest = std::max(Fullest, {Unsent, Peer});
+      }
+      if (Total == 0 ||
+          Total + Bytes <= percentOf(Settings.MemoryLimit, ReplyPercent))
+        return true;
+      if (Fullest.second == Origin)
+        return false;
+      onInboundLost(Fullest.second, "the peer does not take its replies");
+    }
+  }
+
+  // The call has run, so its caller must not be told otherwise.
+  static Routing::CallReply withoutContent(const Routing::CallReply &Full) {
+    Routing::CallReply Result;
+    Result.Attempt = Full.Attempt;
+    Result.Result = Common::isNotRun(Full.Result)
+                        ? Full.Result
+                        : Common::ResultCode::OutcomeUnknown;
+    Result.Load = Full.Load;
+    Result.QueueTime = Full.QueueTime;
+    Result.ServiceTime = Full.ServiceTime;
+    Result.Server = Full.Server;
+    return Result;
   }
 
   void onMessage(ShareLoad &Command) {
--- a/Source/UnitTests/Node/PeersServiceTests.cpp
+++ b/Source/UnitTests/Node/PeersServiceTests.cpp
@@ -8,6 +8,7 @@
 #include "Common/ScopeGuard.h"
 #include "Common/UniqueFd.h"
 #include "Node/PeersService.h"
+#include "UnitTests/RawSocket.h"
 #include "UnitTests/RecordingSink.h"
 
 BOOST_AUTO_TEST_SUITE(PeersServices)
@@ -131,11 +132,13 @@
 
   Millis EchoInterval;
   Millis EchoLimit;
-  std::size_t MemoryLimit = 2'000'000'000;
+  std::size_t MemoryLimit;
 
   explicit Fixture(Millis EchoInterval = Millis(400),
-                   Millis EchoLimit = Millis(1200))
-      : EchoInterval(EchoInterval), EchoLimit(EchoLimit) {
+                   Millis EchoLimit = Millis(1200),
+                   std::size_t MemoryLimit = 2'000'000'000)
+      : EchoInterval(EchoInterval), EchoLimit(EchoLimit),
+        MemoryLimit(MemoryLimit) {
     Worker.spawn();
     Worker.runAndWait([&] {
       ServerSide = start(ServerPort, Unused, ToBackend);
@@ -183,10 +186,11 @@
     request(Address, Id, "", false);
   }
   // Answers a request that arrived at the server-side node.
-  void answer(const Node::RequestArrived &Arrived) {
+  void answer(const Node::RequestArrived &Arrived, std::size_t BodyBytes = 0) {
     Worker.runAndWait([&] {
       Routing::CallReply Reply;
       Reply.Attempt = Arrived.Request.Attempt;
+      Reply.Body = std::string(BodyBytes, 'x');
       ServerSide->handle(Node::SendReply{Arrived.Origin, Reply});
     });
   }
@@ -485,6 +489,106 @@
     BOOST_TEST(repliesTo(Id) + lossesOf(Id) == 1U);
 }
 
+namespace {
+
+// A small node, and peers that send requests but do not read the replies.
+struct FrozenPeersFixture : Fixture {
+  static constexpr std::size_t ReplyBytes = 2 << 20;
+  static constexpr int SmallBuffer = 64 << 10;
+
+  FrozenPeersFixture() : Fixture(Millis(400), Millis(1200), 100'000'000) {}
+
+  static std::string framed(const Wire::Frame &Content) {
+    const std::string Encoded = Wire::encodeFrame(Content);
+    std::string Result;
+    for (int Shift = 24; Shift >= 0; Shift -= 8)
+      Result.push_back(static_cast<char>(Encoded.size() >> Shift & 0xff));
+    return Result + Encoded;
+  }
+  static void sendRequests(const UnitTests::RawSocket &Peer,
+                           Routing::AttemptId From, Routing::AttemptId To) {
+    for (Routing::AttemptId Id = From; Id <= To; ++Id) {
+      Routing::CallRequest Request;
+      Request.Attempt = Id;
+      Peer.send(framed(Request));
+    }
+  }
+  static std::vector<Routing::CallReply> repliesIn(std::string_view Bytes) {
+    std::vector<Routing::CallReply> Result;
+    while (Bytes.size() >= 4) {
+      std::size_t Length = 0;
+      for (const char Byte : Bytes.substr(0, 4))
+        Length = Length << 8 | static_cast<unsigned char>(Byte);
+      if (Bytes.size() - 4 < Length)
+        break;
+      const Wire::Frame Content = Wire::decodeFrame(Bytes.substr(4, Length));
+      if (const auto *Reply = std::get_if<Routing::CallReply>(&Content))
+        Result.push_back(*Reply);
+      Bytes.remove_prefix(4 + Length);
+    }
+    return Result;
+  }
+  void checkHealthyPeer(Routing::AttemptId Id) {
+    requestOnce(Between->address(), Id);
+    answer(arrived(Id), ReplyBytes);
+    const auto Arrived =
+        waitFor<Node::ReplyArrived>(ToIngress, [&](const auto &Message) {
+          return Message.Reply.Attempt == Id;
+        });
+    BOOST_TEST((Arrived.Reply.Result == Common::ResultCode::Ok));
+    BOOST_TEST(Arrived.Reply.Body.size() == ReplyBytes);
+  }
+};
+
+} // namespace
+
+// A node kept all replies to a frozen node and passed its memory.
+BOOST_FIXTURE_TEST_CASE(RepliesToAFrozenNodeAreBounded, FrozenPeersFixture) {
+  constexpr Routing::AttemptId Count = 40;
+  UnitTests::RawSocket Frozen(ServerPort, SmallBuffer);
+  sendRequests(Frozen, 1, Count);
+  for (Routing::AttemptId Id = 1; Id <= Count; ++Id)
+    answer(arrived(Id), ReplyBytes);
+  checkHealthyPeer(Count + 1);
+  // The node thaws. It has run all calls, so none is reported as not run.
+  const std::vector<Routing::CallReply> Replies =
+      repliesIn(Frozen.readSlowly(1 << 20, Millis(1), Millis(3000)));
+  BOOST_TEST(Replies.size() == static_cast<std::size_t>(Count));
+  std::size_t Bytes = 0;
+  for (const Routing::CallReply &Reply : Replies) {
+    Bytes += Reply.Body.size();
+    BOOST_TEST((Reply.Result == Common::ResultCode::Ok
+                    ? Reply.Body.size() == ReplyBytes
+                    : Common::isUnknownOutcome(Reply.Result)));
+  }
+  // The share of a peer, and what the kernel takes.
+  BOOST_TEST(Bytes > ReplyBytes);
+  BOOST_TEST(Bytes < 16'000'000U);
+}
+
+BOOST_FIXTURE_TEST_CASE(RepliesToAllFrozenNodesAreBounded, FrozenPeersFixture) {
+  constexpr Routing::AttemptId PeerCount = 6;
+  constexpr Routing::AttemptId CallsOfPeer = 6;
+  std::vector<std::unique_ptr<UnitTests::RawSocket>> Frozen;
+  for (Routing::AttemptId Peer = 0; Peer < PeerCount; ++Peer) {
+    Frozen.push_back(
+        std::make_unique<UnitTests::RawSocket>(ServerPort, SmallBuffer));
+    const Routing::AttemptId First = 1 + Peer * CallsOfPeer;
+    sendRequests(*Frozen.back(), First, First + CallsOfPeer - 1);
+    for (Routing::AttemptId Id = First; Id < First + CallsOfPeer; ++Id)
+      answer(arrived(Id), ReplyBytes);
+  }
+  checkHealthyPeer(PeerCount * CallsOfPeer + 1);
+  // Peers that held the most were closed, and their calls ended.
+  std::size_t Closed = 0;
+  Worker.runAndWait([&] {
+    for (const Node::BackendMessage &Message : ToBackend)
+      Closed += std::holds_alternative<Node::OriginLost>(Message) ? 1 : 0;
+  });
+  BOOST_TEST(Closed >= static_cast<std::size_t>(PeerCount - 4));
+  BOOST_TEST(Closed < static_cast<std::size_t>(PeerCount));
+}
+
 // A data centre is cut off. Each connection into it notices that by itself only
 // after its own time-out, so that calls used to wait for one node after the
 // other.
