Let the silence of a node end no last attempt of a call

Callers saw 502 for idempotent calls as well when a connection between nodes was silent for 1.2 s: those without an attempt left could not be repeated, but were ended as though they could.

The dispatcher now says with each attempt whether the call could be sent elsewhere (mayRetry for an unknown outcome), instead of PeersService taking it from Request.Idempotent.

--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -324,8 +324,9 @@
       spdlog::info("event=additional-attempt id={} number={} server={} node={}",
                    Action.Request.CorrelationId, Action.AttemptNumber,
                    Action.Request.Server, Action.Node);
-    const auto Posted = Targets.ToPeers.post(SendRequest{
-        Action.Node, Action.Request, Action.DataCentre, Action.ConnectLimit});
+    const auto Posted = Targets.ToPeers.post(
+        SendRequest{Action.Node, Action.Request, Action.DataCentre,
+                    Action.ConnectLimit, Action.MayBeRepeated});
     if (Posted == Kernel::PostResult::Accepted)
       return;
     Routing::CallReply Refused;
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -110,6 +110,8 @@
   // The request is refused as not run if there is no connection to the node
   // within this time.
   std::optional<Common::Micros> ConnectLimit = {};
+  // Whether the call can be sent elsewhere if the outcome stays unknown.
+  bool MayBeRepeated = false;
 };
 struct SendCancel {
   Routing::NodeAddress Address;
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -89,7 +89,7 @@
   using ConnectionId = std::uint64_t;
 
   struct PendingAttempt {
-    bool Idempotent = true;
+    bool MayBeRepeated = false;
     // The position of its frame among the bytes queued on the connection.
     std::uint64_t FrameStart = 0;
   };
@@ -152,7 +152,7 @@
     }
     Connection.PendingAttempts.emplace(
         Command.Request.Attempt,
-        PendingAttempt{Command.Request.Idempotent,
+        PendingAttempt{Command.MayBeRepeated,
                        Connection.Socket->queuedBytes()});
     if (Command.ConnectLimit && !Connection.WasConnected &&
         !Connection.ConnectBy)
@@ -408,7 +408,7 @@
     std::vector<Routing::AttemptId> Kept;
     NodeLost Report{Address};
     for (const auto &[Attempt, Pending] : Old.PendingAttempts)
-      (Pending.Idempotent ? Report.Attempts : Kept).push_back(Attempt);
+      (Pending.MayBeRepeated ? Report.Attempts : Kept).push_back(Attempt);
     if (!Old.WasConnected || Kept.empty()) {
       reportLost(Address, Old, "echo timed out");
       return;
--- a/Source/Core/Routing/Dispatcher.h
+++ b/Source/Core/Routing/Dispatcher.h
@@ -59,6 +59,8 @@
   // The attempt is refused as not run if there is no connection to the node
   // within this time.
   std::optional<Common::Micros> ConnectLimit = {};
+  // Whether the call can be sent elsewhere if the outcome stays unknown.
+  bool MayBeRepeated = false;
 };
 struct CancelAttempt {
   NodeAddress Node;
@@ -502,9 +504,10 @@
   Records.attemptSent(Server.Server, Call.Kind.Name, Now);
   CallRequest Request = makeRequest(Call, Attempt, Now);
   Request.Server = Server.Server;
-  Actions.push_back(SendAttempt{Server.Node, std::move(Request),
-                                Call.AttemptsMade + Call.Redirects,
-                                Server.DataCentre, connectLimit(Call)});
+  Actions.push_back(SendAttempt{
+      Server.Node, std::move(Request), Call.AttemptsMade + Call.Redirects,
+      Server.DataCentre, connectLimit(Call),
+      mayRetry(Call, Common::ResultCode::ConnectionLost)});
 }
 
 template <ChoicePolicy Policy, RetryBudgets Budgets>
--- a/Source/UnitTests/Node/PeersServiceTests.cpp
+++ b/Source/UnitTests/Node/PeersServiceTests.cpp
@@ -174,12 +174,12 @@
   }
 
   void request(const std::string &Address, Routing::AttemptId Id,
-               const std::string &DataCentre = "", bool Idempotent = true) {
+               const std::string &DataCentre = "", bool MayBeRepeated = true) {
     Worker.runAndWait([&] {
       Routing::CallRequest Request;
       Request.Attempt = Id;
-      Request.Idempotent = Idempotent;
-      CallerSide->handle(Node::SendRequest{Address, Request, DataCentre});
+      CallerSide->handle(Node::SendRequest{Address, Request, DataCentre,
+                                           std::nullopt, MayBeRepeated});
     });
   }
   void requestOnce(const std::string &Address, Routing::AttemptId Id) {
@@ -443,7 +443,6 @@
     Worker.post([&] {
       Routing::CallRequest Request;
       Request.Attempt = 2;
-      Request.Idempotent = false;
       CallerSide->handle(Node::SendRequest{Address, Request});
     });
   };
@@ -472,7 +471,6 @@
     Worker.runAndWait([&] {
       Routing::CallRequest Request;
       Request.Attempt = Id;
-      Request.Idempotent = false;
       Request.Body = std::string(Wire::MaxFrameBodyBytes, 'x');
       CallerSide->handle(Node::SendRequest{Peer->address(), Request});
     });
--- a/Source/UnitTests/Routing/DispatcherTests.cpp
+++ b/Source/UnitTests/Routing/DispatcherTests.cpp
@@ -138,6 +138,18 @@
   BOOST_TEST((answered(Actions).Reply.Result == ResultCode::ConnectionLost));
 }
 
+// The silence of a node ended the last attempts of calls whose servers were at
+// work.
+BOOST_FIXTURE_TEST_CASE(MarksAttemptsThatCannotBeRepeated, Fixture) {
+  BOOST_TEST(!sent(startCall(1, "/write")).MayBeRepeated);
+  auto Read = sent(startCall(2, "/read"));
+  BOOST_TEST(Read.MayBeRepeated);
+  Read = sent(answer(Read.Request.Attempt, ResultCode::QueueFull));
+  BOOST_TEST(Read.MayBeRepeated);
+  Read = sent(answer(Read.Request.Attempt, ResultCode::QueueFull));
+  BOOST_TEST(!Read.MayBeRepeated);
+}
+
 BOOST_FIXTURE_TEST_CASE(StopsAtMaxAttempts, Fixture) {
   auto Last = sent(startCall(1, "/read"));
   Last = sent(answer(Last.Request.Attempt, ResultCode::QueueFull));
