Show calls between nodes that silence and a drain end too early

SilenceEndsNoCallThatHasNoAttemptLeft: ConnectionLost in place of the answer of a server at work, since PeersService::retire() gives up each idempotent attempt. EchoAnswerThatWaitsInTheKernelDoesNotTimeOut: checkOutbound() judges a connection by what was read, not by what has arrived. DrainRefusesARequestThatWaitsInTheKernel and DrainDoesNotResetANodeThatWaitsToBeAccepted: PeersService::drain() drops what was received and not read, and what was not accepted.

--- a/Source/UnitTests/Node/PeersServiceTests.cpp
+++ b/Source/UnitTests/Node/PeersServiceTests.cpp
@@ -4,7 +4,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Common/ScopeGuard.h"
+#include "Config/ObjectSetBuilder.h"
 #include "Node/PeersService.h"
+#include "Routing/Dispatcher.h"
 #include "UnitTests/RawSocket.h"
 #include "UnitTests/RecordingSink.h"
 
@@ -486,4 +488,141 @@
   });
 }
 
+// An idempotent call for which no further attempt is left is answered with a
+// failure when the other node is silent, although its server is at work on it.
+BOOST_FIXTURE_TEST_CASE(SilenceEndsNoCallThatHasNoAttemptLeft, Fixture) {
+  Routing::Dispatcher<Routing::RoundRobinChoice> Calls{
+      "here", Routing::RoundRobinChoice()};
+  Calls.useSet(1, Config::ObjectSetBuilder()
+                      .input("f", "[service s]\n[retry r]\nattempts = 1\n"
+                                  "[kind read]\n"
+                                  "idempotent = yes\ndeadline = 8s\nretry = r\n"
+                                  "[route a]\nprefix = /\nservice = s\n"
+                                  "kind = read\n")
+                      .build());
+  auto View = std::make_shared<Routing::ServerView>();
+  View->ByService["s"] = {{"s1", Between->address(), "here", 6}};
+  Calls.useServers(View, std::chrono::steady_clock::now());
+  Routing::CallStart Start;
+  Start.Call = 1;
+  Start.Method = "GET";
+  Start.Path = Start.Target = "/";
+  const auto Begun =
+      Calls.startCall(std::move(Start), std::chrono::steady_clock::now());
+  BOOST_REQUIRE_EQUAL(Begun.size(), 1U);
+  const auto Sent = std::get<Routing::SendAttempt>(Begun[0]);
+  Worker.runAndWait([&] {
+    CallerSide->handle(Node::SendRequest{Sent.Node, Sent.Request, ""});
+  });
+  const auto Arrived = arrived(Sent.Request.Attempt);
+  Worker.runAndWait([&] { Between->drop(false, true); });
+  std::this_thread::sleep_for(Millis(2500));
+  Worker.runAndWait([&] { Between->drop(false, false); });
+  answer(Arrived);
+  std::this_thread::sleep_for(Millis(300));
+  std::vector<Common::ResultCode> Answers;
+  Worker.runAndWait([&] {
+    for (const Node::IngressMessage &Message : ToIngress) {
+      Routing::DispatchActions Actions;
+      const auto Now = std::chrono::steady_clock::now();
+      if (const auto *Lost = std::get_if<Node::NodeLost>(&Message))
+        Actions = Calls.handleConnectionLost(Lost->Attempts, Now);
+      else if (const auto *Reply = std::get_if<Node::ReplyArrived>(&Message))
+        Actions = Calls.handleReply(Reply->Reply, Now);
+      for (const Routing::DispatchAction &Action : Actions)
+        if (const auto *Answer = std::get_if<Routing::AnswerCaller>(&Action))
+          Answers.push_back(Answer->Reply.Result);
+    }
+  });
+  BOOST_REQUIRE_EQUAL(Answers.size(), 1U);
+  BOOST_TEST((Answers[0] == Common::ResultCode::Ok));
+}
+
+// The answer to an echo has arrived in time, but this node reads it late.
+BOOST_FIXTURE_TEST_CASE(EchoAnswerThatWaitsInTheKernelDoesNotTimeOut, Fixture) {
+  constexpr Millis AnswerDelay{1100};
+  Kernel::Task Other("other");
+  Kernel::Timers OtherClock(Other);
+  std::unique_ptr<Wire::FrameListener> Listener;
+  std::unique_ptr<Wire::FrameSocket> Accepted;
+  std::optional<Common::SteadyTime> EchoedAt;
+  Other.spawn();
+  int Port = 0;
+  Other.runAndWait([&] {
+    Listener = std::make_unique<
+        Wire::FrameListener>(Other, "127.0.0.1", 0, [&](const auto &Adopt) {
+      Accepted = Adopt(
+          {[&](std::string_view Bytes) {
+             const Wire::Frame Content = Wire::decodeFrame(Bytes);
+             const auto *Echo = std::get_if<Wire::Echo>(&Content);
+             if (!Echo || EchoedAt)
+               return;
+             EchoedAt = std::chrono::steady_clock::now();
+             OtherClock.after(AnswerDelay, [&, Sequence = Echo->Sequence] {
+               Accepted->send(Wire::encodeFrame(Wire::Echo{Sequence, true}));
+             });
+           },
+           [](const auto &) {}});
+    });
+    Port = Listener->port();
+  });
+  request("127.0.0.1:" + std::to_string(Port), 1);
+  std::optional<Common::SteadyTime> Begin;
+  while (!Begin) {
+    Other.runAndWait([&] { Begin = EchoedAt; });
+    std::this_thread::sleep_for(Millis(1));
+  }
+  std::this_thread::sleep_until(*Begin + Millis(950));
+  Worker.runAndWait(
+      [&] { std::this_thread::sleep_until(*Begin + Millis(1300)); });
+  std::this_thread::sleep_for(Millis(100));
+  BOOST_TEST(lossesOf(1) == 0U);
+  Other.runAndWait([&] {
+    Accepted.reset();
+    Listener.reset();
+  });
+}
+
+// A request that was received, but not read, when the connections between nodes
+// are drained is neither run nor refused.
+BOOST_FIXTURE_TEST_CASE(DrainRefusesARequestThatWaitsInTheKernel,
+                        SlowReaderFixture) {
+  exchange(100);
+  Routing::CallRequest Request;
+  Request.Attempt = 2;
+  const std::string Frame = Wire::encodeFrame(Request);
+  std::string Length;
+  for (int Shift = 24; Shift >= 0; Shift -= 8)
+    Length.push_back(static_cast<char>(Frame.size() >> Shift & 0xff));
+  Worker.runAndWait([&] {
+    Reader.send(Length + Frame);
+    std::this_thread::sleep_for(Millis(20));
+    ServerSide->drain([&] { Drained = true; });
+  });
+  BOOST_TEST(isDrained(Millis(2000)));
+  // The server side refuses what it is told of.
+  std::size_t Arrived = 0;
+  Worker.runAndWait([&] {
+    for (const Node::BackendMessage &Message : ToBackend)
+      Arrived += std::holds_alternative<Node::RequestArrived>(Message) ? 1 : 0;
+  });
+  BOOST_TEST(Arrived == 2U);
+}
+
+// Closing a listener resets the connections in its accept queue. The node at
+// the other end takes its requests for run.
+BOOST_FIXTURE_TEST_CASE(DrainDoesNotResetANodeThatWaitsToBeAccepted, Fixture) {
+  std::optional<UnitTests::RawSocket> New;
+  bool Drained = false;
+  Worker.runAndWait([&] {
+    New.emplace(ServerPort);
+    New->send("x");
+    std::this_thread::sleep_for(Millis(20));
+    ServerSide->drain([&] { Drained = true; });
+  });
+  BOOST_TEST(New->isConnected());
+  BOOST_TEST(New->isClosed());
+  BOOST_TEST(!New->wasReset());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
