--- a/Source/UnitTests/Node/PeersServiceTests.cpp
+++ b/Source/UnitTests/Node/PeersServiceTests.cpp
@@ -625,4 +625,26 @@
   BOOST_TEST(!New->wasReset());
 }
 
+// A call that outlasts the drain of the server side ends while the connections
+// between nodes are drained.
+BOOST_FIXTURE_TEST_CASE(DrainSendsAReplyThatIsStillToCome, SlowReaderFixture) {
+  Routing::CallRequest Request;
+  Request.Attempt = 1;
+  const std::string Frame = Wire::encodeFrame(Request);
+  std::string Length;
+  for (int Shift = 24; Shift >= 0; Shift -= 8)
+    Length.push_back(static_cast<char>(Frame.size() >> Shift & 0xff));
+  Reader.send(Length + Frame);
+  const auto Arrived = waitFor<Node::RequestArrived>(ToBackend, 0);
+  drain();
+  std::this_thread::sleep_for(Millis(50));
+  Worker.runAndWait([&] {
+    Routing::CallReply Reply;
+    Reply.Attempt = 1;
+    Reply.Body = "whole";
+    ServerSide->handle(Node::SendReply{Arrived.Origin, Reply});
+  });
+  BOOST_TEST(Reader.readUntil("whole").find("whole") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
