--- a/Source/UnitTests/Http/KeepAliveClientTests.cpp
+++ b/Source/UnitTests/Http/KeepAliveClientTests.cpp
@@ -344,4 +344,45 @@
   BOOST_TEST(connectionsOpened() == 2U);
 }
 
+// Due timers run between two socket events, so a task that is late may find
+// that a request has timed out although its response has arrived in time.
+BOOST_FIXTURE_TEST_CASE(ResponseThatWaitsInTheKernelIsNotTimedOut, Fixture) {
+  Kernel::Task Other("other");
+  std::unique_ptr<Net::Listener> OtherListener;
+  std::unique_ptr<Net::ByteStream> Peer;
+  bool Asked = false;
+  Other.spawn();
+  Other.runAndWait([&] {
+    OtherListener = std::make_unique<Net::Listener>(
+        Other, "127.0.0.1", 0, [&](const Net::Listener::Adopter &Adopt) {
+          Net::ByteStream::Events Handlers;
+          Handlers.OnBytes = [&](std::string_view) { Asked = true; };
+          Handlers.OnClosed = [](Net::StreamEnd, const std::string &) {};
+          Peer = Adopt(std::move(Handlers));
+        });
+  });
+  Worker.runAndWait([&] {
+    Client->useServer("127.0.0.1:" + std::to_string(OtherListener->port()));
+  });
+  Kernel::Timers Clock(Worker);
+  const auto Begin = std::chrono::steady_clock::now();
+  send("1", Millis(800));
+  for (bool IsAsked = false; !IsAsked;) {
+    Other.runAndWait([&] { IsAsked = Asked; });
+    std::this_thread::sleep_for(Millis(1));
+  }
+  // Ready before the response is.
+  Worker.runAndWait([&] { Clock.after(Millis(200), [] {}); });
+  Worker.post([&] { std::this_thread::sleep_until(Begin + Millis(1000)); });
+  std::this_thread::sleep_until(Begin + Millis(500));
+  Other.runAndWait([&] { Peer->write(response("1", "in time")); });
+  BOOST_TEST(result(1).Answered);
+  BOOST_TEST(result(1).Reply.Body == "in time");
+  Worker.runAndWait([&] { Client.reset(); });
+  Other.runAndWait([&] {
+    Peer.reset();
+    OtherListener.reset();
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
