--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -331,6 +331,11 @@
   Self->scheduleFlush();
 }
 
+void ByteStream::flush() {
+  if (isConnected())
+    Self->writeAll();
+}
+
 void ByteStream::closeGracefully() {
   if (Self->Closed || Self->ClosingGracefully)
     return;
--- a/Source/Core/Wire/FrameSocket.h
+++ b/Source/Core/Wire/FrameSocket.h
@@ -44,6 +44,8 @@
   // Sends the remaining frames and then shuts the connection down in order.
   // Frames that are received later are discarded.
   void closeGracefully();
+  // Hands to the kernel what it takes at once.
+  void flush();
   bool isConnected() const;
   std::size_t unsentBytes() const;
   // All bytes of the frames that were queued, and those of them that were
