Count the time of a stop from when its signal may have been sent

Callers lost answers because their node was killed at the end of its grace: the process got no processor time for seconds after SIGTERM, and counted its drain limit from when it handled the signal.

The host now waits for signals for 250 ms at a time. A wait that lasted longer shows that the process did not run, and the time of the stop then counts from its beginning.

--- a/Source/Core/Kernel/Host.cpp
+++ b/Source/Core/Kernel/Host.cpp
@@ -1,9 +1,11 @@
 #include "Kernel/Host.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <future>
 #include <set>
+#include <utility>
 
 #include <spdlog/spdlog.h>
 
@@ -13,6 +15,9 @@
 
 namespace {
 
+// A wait for signals that lasts longer means that the process did not run.
+constexpr Common::Millis MaxSignalWait{250};
+
 sigset_t handledSignals() {
   sigset_t Signals;
   sigemptyset(&Signals);
@@ -71,23 +76,36 @@
                              const std::function<void()> &OnIdle,
                              Common::Duration IdleInterval) {
   const sigset_t Signals = handledSignals();
-  const auto WholeSeconds =
-      std::chrono::duration_cast<std::chrono::seconds>(IdleInterval);
+  const bool HasIdleInterval = IdleInterval > Common::Duration::zero();
+  const Common::Duration WaitTime =
+      HasIdleInterval ? std::min<Common::Duration>(IdleInterval, MaxSignalWait)
+                      : MaxSignalWait;
   timespec Timeout = {};
-  Timeout.tv_sec = WholeSeconds.count();
-  Timeout.tv_nsec = (IdleInterval - WholeSeconds).count();
-  const bool HasTimeout = IdleInterval > Common::Duration::zero();
+  Timeout.tv_nsec = WaitTime.count();
+  Common::SteadyTime LastWake = std::chrono::steady_clock::now();
+  Common::SteadyTime LastSignal = LastWake;
   for (;;) {
-    const int Signal =
-        sigtimedwait(&Signals, nullptr, HasTimeout ? &Timeout : nullptr);
+    const int Signal = sigtimedwait(&Signals, nullptr, &Timeout);
+    const int Error = errno;
+    const Common::SteadyTime Now = std::chrono::steady_clock::now();
+    const Common::SteadyTime PreviousWake = std::exchange(LastWake, Now);
     if (Signal == SIGHUP) {
+      LastSignal = Now;
       OnReload();
     } else if (Signal > 0) {
-      spdlog::info("event=stopping signal={}", Signal);
+      // A delay within the time of a wait cannot be told from no delay.
+      SignalledAt = Now - PreviousWake > WaitTime ? PreviousWake : Now;
+      spdlog::info(
+          "event=stopping signal={} delay-ms={}", Signal,
+          std::chrono::duration_cast<Common::Millis>(Now - *SignalledAt)
+              .count());
       return;
-    } else if (errno == EAGAIN) {
-      OnIdle();
-    } else if (errno != EINTR) {
+    } else if (Error == EAGAIN) {
+      if (HasIdleInterval && Now - LastSignal >= IdleInterval) {
+        LastSignal = Now;
+        OnIdle();
+      }
+    } else if (Error != EINTR) {
       Common::throwSystemError("waiting for a stop signal");
     }
   }
@@ -95,7 +113,8 @@
 
 void Host::stop(Common::Duration Timeout) {
   const Common::SteadyTime Began = std::chrono::steady_clock::now();
-  const Common::SteadyTime Deadline = Began + Timeout;
+  const Common::SteadyTime Deadline =
+      std::max(Began, SignalledAt.value_or(Began) + Timeout);
   for (std::size_t Index = StartedCount; Index-- > 0;) {
     const ServiceEntry &Entry = *ServiceEntries[Index];
     if (Entry.PrepareStop)
--- a/Source/Core/Kernel/Host.h
+++ b/Source/Core/Kernel/Host.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,7 +60,8 @@
       const std::function<void()> &OnIdle = [] {},
       Common::Duration IdleInterval = Common::Duration::zero());
   // Tells the services when the host stops, drains all of them within Timeout
-  // in total, then stops them.
+  // in total, then stops them. Timeout counts from when the stop signal was
+  // sent, as far as that is known.
   void stop(Common::Duration Timeout);
 
   Registry &services();
@@ -77,6 +79,8 @@
   std::map<std::string, std::unique_ptr<Task>> Tasks;
   std::vector<std::unique_ptr<ServiceEntry>> ServiceEntries;
   std::size_t StartedCount = 0;
+  // The earliest time at which the stop signal may have been sent.
+  std::optional<Common::SteadyTime> SignalledAt;
 };
 
 // Declares the tasks and services of a Host.
--- a/Source/UnitTests/Kernel/HostTests.cpp
+++ b/Source/UnitTests/Kernel/HostTests.cpp
@@ -142,6 +142,40 @@
   BOOST_TEST(Calls == 3);
 }
 
+// Guards against a process that is killed at the end of its grace, because it
+// counted its time from when it handled the signal.
+BOOST_AUTO_TEST_CASE(StopSignalThatIsHandledLateLeavesLessTime) {
+  struct Prepared {
+    using Message = int;
+    std::optional<Common::SteadyTime> &Deadline;
+    void start() {}
+    void handle(int) {}
+    void stop() {}
+    void prepareStop(Common::SteadyTime StopsAt) { Deadline = StopsAt; }
+  };
+  std::optional<Common::SteadyTime> Deadline;
+  Kernel::HostBuilder Builder;
+  Builder.task("t");
+  Builder.service<Prepared>("s", "t", {}, [&Deadline](Kernel::Context) {
+    return std::make_unique<Prepared>(Prepared{Deadline});
+  });
+  Kernel::Host Running = Builder.build();
+  Running.start();
+  std::optional<Common::SteadyTime> Sent;
+  Running.waitForStopSignal([] {},
+                            [&Sent] {
+                              Sent = std::chrono::steady_clock::now();
+                              ::kill(::getpid(), SIGTERM);
+                              std::this_thread::sleep_for(Common::Millis(800));
+                            },
+                            Common::Millis(5));
+  Running.stop(Common::Millis(3000));
+  BOOST_REQUIRE(Sent.has_value());
+  BOOST_REQUIRE(Deadline.has_value());
+  BOOST_TEST((*Deadline <= *Sent + Common::Millis(3000)));
+  BOOST_TEST((*Deadline >= *Sent + Common::Millis(2000)));
+}
+
 namespace {
 
 // Records when the host stops, and in which order it is told.
