Refuse the requests that wait in the kernel when connections are drained

Callers saw 502 for requests that reached a node around its planned stop and never ran there.

Cause: the drain of the connections between nodes closed the listener and shut all connections down at once. Connections in the accept queue were reset, and frames that had arrived, but were not read, were discarded, so that the other nodes took their requests for run.

Evidence: PeersServices/DrainRefusesARequestThatWaitsInTheKernel and DrainDoesNotResetANodeThatWaitsToBeAccepted failed before and pass now. DrainSendsAReplyThatIsStillToCome, which failed too, passes as well.

The drain accepts what waits, reads what has arrived and passes the requests on to the backend service, which is closed by then and refuses them. A connection is shut down only when each request passed on is answered or cancelled.

--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -351,6 +351,16 @@
   Self->updateInterest();
 }
 
+void ByteStream::readArrived() {
+  constexpr std::size_t BytesPerRead = ReadChunkBytes * MaxChunksPerIteration;
+  Impl &State = *Self;
+  const std::shared_ptr<bool> IsAlive = State.Alive;
+  // Bounded by what has arrived by now, since the peer may go on sending.
+  for (std::size_t Reads = unreadBytes() / BytesPerRead + 1;
+       Reads > 0 && *IsAlive && !State.Connecting && !State.Closed; --Reads)
+    State.readAll();
+}
+
 bool ByteStream::isConnected() const {
   return !Self->Connecting && !Self->Closed && !Self->WriteFailed;
 }
--- a/Source/Core/Net/ByteStream.h
+++ b/Source/Core/Net/ByteStream.h
@@ -61,6 +61,8 @@
   // Closes immediately. OnClosed is called later with this reason.
   void closeNow(const std::string &Reason);
   void setReading(bool Enabled);
+  // Delivers what has arrived without waiting for the event loop.
+  void readArrived();
 
   // False from a failed write on, although bytes that were received before may
   // still be delivered.
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -60,15 +60,17 @@
     std::visit([this](auto &Command) { this->onMessage(Command); }, Content);
   }
 
-  // Sends the replies that are left and ends the connections of the other nodes
-  // in order. Closing a socket with unread bytes resets the connection, which
-  // can discard a reply on its way.
+  // Passes on the requests that have arrived, so that they are refused, sends
+  // the replies that are left and ends the connections of the other nodes in
+  // order. Closing a socket with unread bytes resets the connection, which can
+  // discard a reply on its way.
   void drain(std::function<void()> Done) {
     OnDrained = std::move(Done);
-    DrainBegan = now();
+    LastDrained = now();
+    Listener->acceptWaiting();
     Listener.reset();
     for (auto &[Origin, Connection] : Inbound)
-      Connection.Socket->closeGracefully();
+      closeIfAnswered(Connection);
     finishDrainIfSent();
   }
 
@@ -131,6 +133,8 @@
     // Empty if it is that of this node, or unknown.
     std::string DataCentre;
     Membership::LoadReportScheduler Sharing{false};
+    // The requests passed on whose replies the other node waits for.
+    std::set<Routing::AttemptId> Unanswered{};
   };
 
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
@@ -231,6 +235,9 @@
       Encoded = Wire::encodeFrame(withoutContent(Command.Reply));
     }
     Found->second.Socket->send(Encoded);
+    Found->second.Unanswered.erase(Command.Reply.Attempt);
+    if (OnDrained)
+      closeIfAnswered(Found->second);
   }
 
   // Load pattern: a node stands still while the calls that it sent are
@@ -477,6 +484,12 @@
     Targets.ToIngress.post(ReplyArrived{std::move(Refused)});
   }
 
+  static void closeIfAnswered(InboundConnection &Connection) {
+    Connection.Socket->readArrived();
+    if (Connection.Unanswered.empty())
+      Connection.Socket->closeGracefully();
+  }
+
   void finishDrainIfSent() {
     if (!OnDrained)
       return;
@@ -484,7 +497,7 @@
         std::all_of(Inbound.begin(), Inbound.end(), [](const auto &Entry) {
           return Entry.second.Socket->unsentBytes() == 0;
         });
-    if (Inbound.empty() || (IsSent && now() - DrainBegan >= CloseLimit))
+    if (Inbound.empty() || (IsSent && now() - LastDrained >= CloseLimit))
       std::exchange(OnDrained, nullptr)();
   }
 
@@ -522,7 +535,7 @@
     if (auto *Request = std::get_if<Routing::CallRequest>(&Content))
       handleRequest(Origin, From, *Request);
     else if (const auto *Cancel = std::get_if<Wire::CancelCall>(&Content))
-      Targets.ToBackend.post(CancelArrived{Origin, Cancel->Attempt});
+      handleCancel(Origin, From, *Cancel);
     else if (const auto *Echo = std::get_if<Wire::Echo>(&Content))
       From.Socket->send(Wire::encodeFrame(Wire::Echo{Echo->Sequence, true}));
   }
@@ -530,9 +543,17 @@
   void handleRequest(OriginId Origin, InboundConnection &From,
                      Routing::CallRequest &Request) {
     From.Sharing.onCall(now());
+    From.Unanswered.insert(Request.Attempt);
+    LastDrained = now();
     Targets.ToBackend.post(RequestArrived{Origin, std::move(Request)});
   }
 
+  void handleCancel(OriginId Origin, InboundConnection &From,
+                    const Wire::CancelCall &Cancel) {
+    From.Unanswered.erase(Cancel.Attempt);
+    Targets.ToBackend.post(CancelArrived{Origin, Cancel.Attempt});
+  }
+
   void tick() {
     Clock.after(TickInterval, [this] { tick(); });
     shareLoad();
@@ -540,6 +561,9 @@
     checkRetired();
     checkInbound();
     checkDataCentres();
+    if (OnDrained)
+      for (auto &[Origin, Connection] : Inbound)
+        closeIfAnswered(Connection);
     finishDrainIfSent();
   }
 
@@ -684,7 +708,8 @@
   Common::SteadyTime LastInboundCheck = now();
   OriginId NextOrigin = LocalOrigin + 1;
   ConnectionId NextConnection = 1;
-  Common::SteadyTime DrainBegan;
+  // When the drain began, or a request was last passed on since then.
+  Common::SteadyTime LastDrained;
   std::function<void()> OnDrained;
 };
 
--- a/Source/Core/Wire/FrameSocket.cpp
+++ b/Source/Core/Wire/FrameSocket.cpp
@@ -111,6 +111,8 @@
 
 void FrameSocket::closeGracefully() { Self->Stream->closeGracefully(); }
 
+void FrameSocket::readArrived() { Self->Stream->readArrived(); }
+
 bool FrameSocket::isConnected() const { return Self->Stream->isConnected(); }
 
 std::size_t FrameSocket::unsentBytes() const {
--- a/Source/Core/Wire/FrameSocket.h
+++ b/Source/Core/Wire/FrameSocket.h
@@ -44,6 +44,8 @@
   // Sends the remaining frames and then shuts the connection down in order.
   // Frames that are received later are discarded.
   void closeGracefully();
+  // Delivers the frames that have arrived without waiting for the event loop.
+  void readArrived();
   bool isConnected() const;
   std::size_t unsentBytes() const;
   // All bytes of the frames that were queued, and those of them that were
@@ -73,6 +75,8 @@
                 OnAccepted Handler);
 
   int port() const { return Socket.port(); }
+  // Accepts the connections that are waiting. Closing a listener resets them.
+  void acceptWaiting() { Socket.acceptWaiting(); }
 
 private:
   Net::Listener Socket;
