Let the drain of the connections between nodes wait for the replies to come

Callers saw 502, or waited in vain, for calls whose servers answered just before their node stopped.

Cause: the drain of the backend service ends before the host stops and lets the calls that outlast it run on.

The drain ends when all connections are closed, or shortly after nothing is unsent and each request from before it is answered or cancelled. The host's deadline bounds it; no service drains after this one.

--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -66,7 +66,7 @@
   // discard a reply on its way.
   void drain(std::function<void()> Done) {
     OnDrained = std::move(Done);
-    LastDrained = now();
+    DrainBegan = LastWaited = now();
     Listener->acceptWaiting();
     Listener.reset();
     for (auto &[Origin, Connection] : Inbound)
@@ -133,8 +133,9 @@
     // Empty if it is that of this node, or unknown.
     std::string DataCentre;
     Membership::LoadReportScheduler Sharing{false};
-    // The requests passed on whose replies the other node waits for.
-    std::set<Routing::AttemptId> Unanswered{};
+    // The requests passed on whose replies the other node waits for, and when
+    // they were passed on.
+    std::map<Routing::AttemptId, Common::SteadyTime> Unanswered{};
   };
 
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
@@ -490,14 +491,23 @@
       Connection.Socket->closeGracefully();
   }
 
+  // Whether a reply is unsent or still to come. Requests that are passed on
+  // during the drain are refused at once.
+  bool mustAwait(const InboundConnection &Connection) const {
+    return Connection.Socket->unsentBytes() > 0 ||
+           std::any_of(
+               Connection.Unanswered.begin(), Connection.Unanswered.end(),
+               [this](const auto &Entry) { return Entry.second < DrainBegan; });
+  }
+
   void finishDrainIfSent() {
     if (!OnDrained)
       return;
-    const bool IsSent =
-        std::all_of(Inbound.begin(), Inbound.end(), [](const auto &Entry) {
-          return Entry.second.Socket->unsentBytes() == 0;
-        });
-    if (Inbound.empty() || (IsSent && now() - LastDrained >= CloseLimit))
+    if (std::any_of(Inbound.begin(), Inbound.end(), [this](const auto &Entry) {
+          return mustAwait(Entry.second);
+        }))
+      LastWaited = now();
+    if (Inbound.empty() || now() - LastWaited >= CloseLimit)
       std::exchange(OnDrained, nullptr)();
   }
 
@@ -543,8 +553,8 @@
   void handleRequest(OriginId Origin, InboundConnection &From,
                      Routing::CallRequest &Request) {
     From.Sharing.onCall(now());
-    From.Unanswered.insert(Request.Attempt);
-    LastDrained = now();
+    From.Unanswered.emplace(Request.Attempt, now());
+    LastWaited = now();
     Targets.ToBackend.post(RequestArrived{Origin, std::move(Request)});
   }
 
@@ -708,8 +718,9 @@
   Common::SteadyTime LastInboundCheck = now();
   OriginId NextOrigin = LocalOrigin + 1;
   ConnectionId NextConnection = 1;
-  // When the drain began, or a request was last passed on since then.
-  Common::SteadyTime LastDrained;
+  Common::SteadyTime DrainBegan;
+  // When a reply was last awaited or unsent, or a request was last passed on.
+  Common::SteadyTime LastWaited;
   std::function<void()> OnDrained;
 };
 
--- a/Source/UnitTests/Node/PeersServiceTests.cpp
+++ b/Source/UnitTests/Node/PeersServiceTests.cpp
@@ -872,4 +872,29 @@
   BOOST_TEST(Reader.readUntil("whole").find("whole") != std::string::npos);
 }
 
+// The drain ended a fixed time after the last reply, while a request was still
+// unanswered.
+BOOST_FIXTURE_TEST_CASE(DrainDoesNotEndBeforeAReplyThatIsStillToCome,
+                        SlowReaderFixture) {
+  Routing::CallRequest Request;
+  Request.Attempt = 1;
+  const std::string Frame = Wire::encodeFrame(Request);
+  std::string Length;
+  for (int Shift = 24; Shift >= 0; Shift -= 8)
+    Length.push_back(static_cast<char>(Frame.size() >> Shift & 0xff));
+  Reader.send(Length + Frame);
+  const auto Arrived = waitFor<Node::RequestArrived>(ToBackend, 0);
+  drain();
+  BOOST_TEST(!isDrained(Millis(700)));
+  Worker.runAndWait([&] {
+    Routing::CallReply Reply;
+    Reply.Attempt = 1;
+    Reply.Body = "whole";
+    ServerSide->handle(Node::SendReply{Arrived.Origin, Reply});
+  });
+  BOOST_TEST(Reader.readUntil("whole").find("whole") != std::string::npos);
+  BOOST_TEST(Reader.isClosed());
+  BOOST_TEST(isDrained(Millis(1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
