Read what has arrived before a connection between nodes counts as silent

Callers saw failures of calls whose node was there and had answered: its connection was ended as silent.

Cause: the checks of both directions judged a connection by what was read. When the task had been busy, an answer to an echo that had arrived in time still waited in the kernel.

Evidence: PeersServices/EchoAnswerThatWaitsInTheKernelDoesNotTimeOut failed before and passes now. The same check of the inbound direction is changed alike, without a test of its own.

Before a connection is ended, what has arrived on it is read, and the check is made again. What arrives later does not delay the loss.

--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -671,11 +671,23 @@
         TimedOut.push_back(Address);
     }
     for (const Routing::NodeAddress &Address : TimedOut)
-      retire(Address);
+      if (!hasAnswered(Address))
+        retire(Address);
     for (const Routing::NodeAddress &Address : NeverConnected)
       onOutboundLost(Address, "no connection in time");
   }
 
+  // Whether the answer to the echo has arrived, but was not read yet.
+  bool hasAnswered(const Routing::NodeAddress &Address) {
+    const auto Silent = Outbound.find(Address);
+    if (Silent == Outbound.end())
+      return false;
+    Silent->second.Socket->readArrived();
+    const auto Current = Outbound.find(Address);
+    return Current != Outbound.end() &&
+           !Current->second.Monitor.unansweredSince();
+  }
+
   // The remote end sends echoes even on an idle connection. When it closes this
   // connection, the close may never arrive here, so silence counts as a loss.
   // After a pause of this process the idle time starts anew.
@@ -691,8 +703,12 @@
           Settings.IdleEchoInterval * MaxMissedIdleEchoes)
         TimedOut.push_back(Origin);
     }
-    for (const OriginId Origin : TimedOut)
-      onInboundLost(Origin, "silent");
+    for (const OriginId Origin : TimedOut) {
+      InboundConnection &Silent = Inbound.at(Origin);
+      Silent.Socket->readArrived();
+      if (Silent.LastReceived < Now)
+        onInboundLost(Origin, "silent");
+    }
   }
 
   Kernel::Task &Task;
