--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -60,15 +60,17 @@
     std::visit([this](auto &Command) { this->onMessage(Command); }, Content);
   }
 
-  // Sends the replies that are left and ends the connections of the other nodes
-  // in order. Closing a socket with unread bytes resets the connection, which
-  // can discard a reply on its way.
+  // Passes on the requests that have arrived, so that they are refused, sends
+  // the replies that are left and ends the connections of the other nodes in
+  // order. Closing a socket with unread bytes resets the connection, which can
+  // discard a reply on its way.
   void drain(std::function<void()> Done) {
     OnDrained = std::move(Done);
-    DrainBegan = now();
+    DrainBegan = LastWaited = now();
+    Listener->acceptWaiting();
     Listener.reset();
     for (auto &[Origin, Connection] : Inbound)
-      Connection.Socket->closeGracefully();
+      closeIfAnswered(Connection);
     finishDrainIfSent();
   }
 
@@ -131,6 +133,9 @@
     // Empty if it is that of this node, or unknown.
     std::string DataCentre;
     Membership::LoadReportScheduler Sharing{false};
+    // The requests passed on whose replies the other node waits for, and when
+    // they were passed on.
+    std::map<Routing::AttemptId, Common::SteadyTime> Unanswered{};
   };
 
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
@@ -231,6 +236,9 @@
       Encoded = Wire::encodeFrame(withoutContent(Command.Reply));
     }
     Found->second.Socket->send(Encoded);
+    Found->second.Unanswered.erase(Command.Reply.Attempt);
+    if (OnDrained)
+      closeIfAnswered(Found->second);
   }
 
   // Load pattern: a node stands still while the calls that it sent are
@@ -479,14 +487,29 @@
     Targets.ToIngress.post(ReplyArrived{std::move(Refused)});
   }
 
+  static void closeIfAnswered(InboundConnection &Connection) {
+    Connection.Socket->readArrived();
+    if (Connection.Unanswered.empty())
+      Connection.Socket->closeGracefully();
+  }
+
+  // Whether a reply is unsent or still to come. Requests that are passed on
+  // during the drain are refused at once.
+  bool mustAwait(const InboundConnection &Connection) const {
+    return Connection.Socket->unsentBytes() > 0 ||
+           std::any_of(
+               Connection.Unanswered.begin(), Connection.Unanswered.end(),
+               [this](const auto &Entry) { return Entry.second < DrainBegan; });
+  }
+
   void finishDrainIfSent() {
     if (!OnDrained)
       return;
-    const bool IsSent =
-        std::all_of(Inbound.begin(), Inbound.end(), [](const auto &Entry) {
-          return Entry.second.Socket->unsentBytes() == 0;
-        });
-    if (Inbound.empty() || (IsSent && now() - DrainBegan >= CloseLimit))
+    if (std::any_of(Inbound.begin(), Inbound.end(), [this](const auto &Entry) {
+          return mustAwait(Entry.second);
+        }))
+      LastWaited = now();
+    if (Inbound.empty() || now() - LastWaited >= CloseLimit)
       std::exchange(OnDrained, nullptr)();
   }
 
@@ -524,7 +547,7 @@
     if (auto *Request = std::get_if<Routing::CallRequest>(&Content))
       handleRequest(Origin, From, *Request);
     else if (const auto *Cancel = std::get_if<Wire::CancelCall>(&Content))
-      Targets.ToBackend.post(CancelArrived{Origin, Cancel->Attempt});
+      handleCancel(Origin, From, *Cancel);
     else if (const auto *Echo = std::get_if<Wire::Echo>(&Content))
       From.Socket->send(Wire::encodeFrame(Wire::Echo{Echo->Sequence, true}));
   }
@@ -532,9 +555,17 @@
   void handleRequest(OriginId Origin, InboundConnection &From,
                      Routing::CallRequest &Request) {
     From.Sharing.onCall(now());
+    From.Unanswered.emplace(Request.Attempt, now());
+    LastWaited = now();
     Targets.ToBackend.post(RequestArrived{Origin, std::move(Request)});
   }
 
+  void handleCancel(OriginId Origin, InboundConnection &From,
+                    const Wire::CancelCall &Cancel) {
+    From.Unanswered.erase(Cancel.Attempt);
+    Targets.ToBackend.post(CancelArrived{Origin, Cancel.Attempt});
+  }
+
   void tick() {
     Clock.after(TickInterval, [this] { tick(); });
     shareLoad();
@@ -542,6 +573,9 @@
     checkRetired();
     checkInbound();
     checkDataCentres();
+    if (OnDrained)
+      for (auto &[Origin, Connection] : Inbound)
+        closeIfAnswered(Connection);
     finishDrainIfSent();
   }
 
@@ -639,11 +673,23 @@
         TimedOut.push_back(Address);
     }
     for (const Routing::NodeAddress &Address : TimedOut)
-      retire(Address);
+      if (!hasAnswered(Address))
+        retire(Address);
     for (const Routing::NodeAddress &Address : NeverConnected)
       onOutboundLost(Address, "no connection in time");
   }
 
+  // Whether the answer to the echo has arrived, but was not read yet.
+  bool hasAnswered(const Routing::NodeAddress &Address) {
+    const auto Silent = Outbound.find(Address);
+    if (Silent == Outbound.end())
+      return false;
+    Silent->second.Socket->readArrived();
+    const auto Current = Outbound.find(Address);
+    return Current != Outbound.end() &&
+           !Current->second.Monitor.unansweredSince();
+  }
+
   // The remote end sends echoes even on an idle connection. When it closes this
   // connection, the close may never arrive here, so silence counts as a loss.
   // After a pause of this process the idle time starts anew.
@@ -659,8 +705,12 @@
           Settings.IdleEchoInterval * MaxMissedIdleEchoes)
         TimedOut.push_back(Origin);
     }
-    for (const OriginId Origin : TimedOut)
-      onInboundLost(Origin, "silent");
+    for (const OriginId Origin : TimedOut) {
+      InboundConnection &Silent = Inbound.at(Origin);
+      Silent.Socket->readArrived();
+      if (Silent.LastReceived < Now)
+        onInboundLost(Origin, "silent");
+    }
   }
 
   Kernel::Task &Task;
@@ -687,6 +737,8 @@
   OriginId NextOrigin = LocalOrigin + 1;
   ConnectionId NextConnection = 1;
   Common::SteadyTime DrainBegan;
+  // When a reply was last awaited or unsent, or a request was last passed on.
+  Common::SteadyTime LastWaited;
   std::function<void()> OnDrained;
 };
 
--- a/Source/Core/Wire/FrameSocket.cpp
+++ b/Source/Core/Wire/FrameSocket.cpp
@@ -113,6 +113,8 @@
 
 void FrameSocket::flush() { Self->Stream->flush(); }
 
+void FrameSocket::readArrived() { Self->Stream->readArrived(); }
+
 bool FrameSocket::isConnected() const { return Self->Stream->isConnected(); }
 
 std::size_t FrameSocket::unsentBytes() const {
--- a/Source/Core/Wire/FrameSocket.h
+++ b/Source/Core/Wire/FrameSocket.h
@@ -46,6 +46,8 @@
   void closeGracefully();
   // Hands to the kernel what it takes at once.
   void flush();
+  // Delivers the frames that have arrived without waiting for the event loop.
+  void readArrived();
   bool isConnected() const;
   std::size_t unsentBytes() const;
   // All bytes of the frames that were queued, and those of them that were
@@ -75,6 +77,8 @@
                 OnAccepted Handler);
 
   int port() const { return Socket.port(); }
+  // Accepts the connections that are waiting. Closing a listener resets them.
+  void acceptWaiting() { Socket.acceptWaiting(); }
 
 private:
   Net::Listener Socket;
