Judge replies to other nodes by what these take

Nodes that read their large replies got OutcomeUnknown for some: a reply was judged by what its peer had unread when it was made.

A large reply beyond the share of its peer now waits, and is replaced only when the peer has taken nothing for 100 ms. Beyond 18 % with a stalled peer, or 36 % in any case, the peer that has taken nothing for the longest time loses its waiting replies, then its connection.

--- a/Source/Core/Node/MemoryShares.h
+++ b/Source/Core/Node/MemoryShares.h
@@ -19,8 +19,12 @@
 constexpr std::size_t ServerPercent = 12;
 // For the frames that a single peer has not taken yet.
 constexpr std::size_t PeerPercent = 6;
-// For the replies that all peers together have not taken yet.
+// For the replies that all peers together have not taken yet, when one of them
+// has stalled.
 constexpr std::size_t ReplyPercent = 18;
+// The same while all peers read. This limit comes before the other shares,
+// which are rarely full at the same time.
+constexpr std::size_t MaxReplyPercent = 36;
 // The part of it that a single peer may take up.
 constexpr std::size_t PeerReplyPercent = 12;
 // For the calls of the backend server to its own node.
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -67,8 +67,13 @@
     OnDrained = std::move(Done);
     DrainBegan = now();
     Listener.reset();
-    for (auto &[Origin, Connection] : Inbound)
+    for (auto &[Origin, Connection] : Inbound) {
+      for (const WaitingReply &Left : Connection.Waiting)
+        Connection.Socket->send(Left.Encoded);
+      Connection.Waiting.clear();
+      Connection.WaitingBytes = 0;
       Connection.Socket->closeGracefully();
+    }
     finishDrainIfSent();
   }
 
@@ -98,6 +103,9 @@
 
   // Replies up to this size do not give way to those that a peer has not taken.
   static constexpr std::size_t SmallReplyBytes = 64 << 10;
+  // A peer that takes none of its unsent bytes for so long has stalled.
+  static constexpr Common::Millis StallLimit{100};
+  static constexpr Common::Millis ReplyCheckInterval{10};
   // Bounds the sockets that a node which stays silent takes up.
   static constexpr std::ptrdiff_t MaxRetiredPerNode = 4;
 
@@ -125,12 +133,23 @@
     Routing::NodeAddress Address;
     OutboundConnection Connection;
   };
+  struct WaitingReply {
+    std::string Encoded;
+    // The same reply without its content.
+    std::string Short;
+  };
   struct InboundConnection {
     std::unique_ptr<Wire::FrameSocket> Socket;
     Common::SteadyTime LastReceived;
     // Empty if it is that of this node, or unknown.
     std::string DataCentre;
     Membership::LoadReportScheduler Sharing{false};
+    // Large replies beyond the share of the peer.
+    std::deque<WaitingReply> Waiting{};
+    std::size_t WaitingBytes = 0;
+    // What the kernel has taken, and when it last took something.
+    std::uint64_t TakenBytes = 0;
+    Common::SteadyTime LastTook = now();
   };
 
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
@@ -224,39 +243,135 @@
     }
     Found->second.Sharing.onLoadSent(Command.Reply.Load, now());
     std::string Encoded = Wire::encodeFrame(Command.Reply);
+    std::string Short = Wire::encodeFrame(withoutContent(Command.Reply));
+    InboundConnection &To = Found->second;
     if (!makeRoom(Command.Origin, Encoded.size())) {
-      spdlog::warn("event=reply-replaced id={} origin={} bytes={} "
-                   "reason=\"the peer does not take its replies\"",
-                   Command.CorrelationId, Command.Origin, Encoded.size());
-      Encoded = Wire::encodeFrame(withoutContent(Command.Reply));
+      replaceReply(Command.Origin, To, Encoded.size(), Short);
+      return;
+    }
+    if (OnDrained || Encoded.size() <= SmallReplyBytes ||
+        (To.Waiting.empty() && mayQueue(To, Encoded.size()))) {
+      To.Socket->send(Encoded);
+      return;
+    }
+    To.WaitingBytes += Encoded.size();
+    To.Waiting.push_back({std::move(Encoded), std::move(Short)});
+    sendWaiting(Command.Origin, To, isStalled(To));
+    scheduleReplyCheck();
+  }
+
+  void replaceReply(OriginId Origin, InboundConnection &To, std::size_t Bytes,
+                    const std::string &Short) {
+    spdlog::warn("event=reply-replaced origin={} bytes={} "
+                 "reason=\"the peer does not take its replies\"",
+                 Origin, Bytes);
+    To.Socket->send(Short);
+  }
+
+  bool mayQueue(const InboundConnection &To, std::size_t Bytes) const {
+    const std::size_t Unsent = To.Socket->unsentBytes();
+    return Unsent == 0 ||
+           Unsent + Bytes <= percentOf(Settings.MemoryLimit, PeerReplyPercent);
+  }
+
+  // Hands over what the kernel takes, so that a peer that reads does not count
+  // as one that does not.
+  static void observeProgress(InboundConnection &Peer) {
+    Peer.Socket->flush();
+    const std::size_t Unsent = Peer.Socket->unsentBytes();
+    const std::uint64_t Taken = Peer.Socket->queuedBytes() - Unsent;
+    if (Unsent == 0 || Taken != Peer.TakenBytes)
+      Peer.LastTook = now();
+    Peer.TakenBytes = Taken;
+  }
+
+  static bool isStalled(const InboundConnection &Peer) {
+    return now() - Peer.LastTook >= StallLimit;
+  }
+
+  // Sends the replies that waited for room, or their results alone if the peer
+  // is given up.
+  void sendWaiting(OriginId Origin, InboundConnection &To, bool GivenUp) {
+    while (!To.Waiting.empty()) {
+      const WaitingReply &Next = To.Waiting.front();
+      const std::size_t Bytes = Next.Encoded.size();
+      if (mayQueue(To, Bytes))
+        To.Socket->send(Next.Encoded);
+      else if (GivenUp)
+        replaceReply(Origin, To, Bytes, Next.Short);
+      else
+        return;
+      To.WaitingBytes -= Bytes;
+      To.Waiting.pop_front();
     }
-    Found->second.Socket->send(Encoded);
+  }
+
+  void scheduleReplyCheck() {
+    if (std::exchange(ReplyCheckScheduled, true))
+      return;
+    Clock.after(ReplyCheckInterval, [this] {
+      ReplyCheckScheduled = false;
+      checkReplies();
+    });
+  }
+
+  void updateReplies() {
+    for (auto &[Origin, Connection] : Inbound) {
+      observeProgress(Connection);
+      sendWaiting(Origin, Connection, isStalled(Connection));
+    }
+  }
+
+  void checkReplies() {
+    updateReplies();
+    boundReplies(std::nullopt, 0);
+    if (std::ranges::any_of(Inbound, [](const auto &Entry) {
+          return !Entry.second.Waiting.empty();
+        }))
+      scheduleReplyCheck();
   }
 
   // Load pattern: a node stands still while the calls that it sent are
-  // answered. Whether the reply may be queued. Closes connections of other
-  // peers if these hold the share of all.
+  // answered. Whether the reply may be kept.
   bool makeRoom(OriginId Origin, std::size_t Bytes) {
-    // A peer that reads must not count as one that does not.
-    Inbound.at(Origin).Socket->flush();
-    const std::size_t Own = Inbound.at(Origin).Socket->unsentBytes();
-    if (Own > 0 && Bytes > SmallReplyBytes &&
-        Own + Bytes > percentOf(Settings.MemoryLimit, PeerReplyPercent))
-      return false;
+    std::size_t Total = Bytes;
+    for (const auto &[Peer, Connection] : Inbound)
+      Total += Connection.Socket->unsentBytes() + Connection.WaitingBytes;
+    // Usual replies are left to the event loop, which sends several at once.
+    if (Total <= percentOf(Settings.MemoryLimit, PeerReplyPercent))
+      return true;
+    updateReplies();
+    return boundReplies(Origin, Bytes);
+  }
+
+  // Gives up the peers that have taken nothing for the longest time: first
+  // their waiting replies, then their connections. False if that would be
+  // Origin.
+  bool boundReplies(std::optional<OriginId> Origin, std::size_t Bytes) {
     for (;;) {
       std::size_t Total = 0;
-      std::pair<std::size_t, OriginId> Fullest;
+      std::optional<OriginId> Slowest;
       for (const auto &[Peer, Connection] : Inbound) {
-        const std::size_t Unsent = Connection.Socket->unsentBytes();
-        Total += Unsent;
-        Fullest = std::max(Fullest, {Unsent, Peer});
+        const std::size_t Kept =
+            Connection.Socket->unsentBytes() + Connection.WaitingBytes;
+        Total += Kept;
+        if (Kept > 0 &&
+            (!Slowest || Connection.LastTook < Inbound.at(*Slowest).LastTook))
+          Slowest = Peer;
       }
-      if (Total == 0 ||
-          Total + Bytes <= percentOf(Settings.MemoryLimit, ReplyPercent))
+      if (!Slowest)
         return true;
-      if (Fullest.second == Origin)
+      const std::size_t Percent =
+          isStalled(Inbound.at(*Slowest)) ? ReplyPercent : MaxReplyPercent;
+      if (Total + Bytes <= percentOf(Settings.MemoryLimit, Percent))
+        return true;
+      if (Slowest == Origin)
         return false;
-      onInboundLost(Fullest.second, "the peer does not take its replies");
+      InboundConnection &Peer = Inbound.at(*Slowest);
+      if (Peer.Waiting.empty())
+        onInboundLost(*Slowest, "the peer does not take its replies");
+      else
+        sendWaiting(*Slowest, Peer, true);
     }
   }
 
@@ -541,6 +656,7 @@
     checkOutbound();
     checkRetired();
     checkInbound();
+    checkReplies();
     checkDataCentres();
     finishDrainIfSent();
   }
@@ -684,6 +800,7 @@
   // The last reported load of the local backend server.
   ShareLoad LatestLoad;
   Common::SteadyTime LastInboundCheck = now();
+  bool ReplyCheckScheduled = false;
   OriginId NextOrigin = LocalOrigin + 1;
   ConnectionId NextConnection = 1;
   Common::SteadyTime DrainBegan;
--- a/Source/UnitTests/Node/PeersServiceTests.cpp
+++ b/Source/UnitTests/Node/PeersServiceTests.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <concepts>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 #include <netinet/in.h>
@@ -566,6 +567,26 @@
   BOOST_TEST(Bytes < 20'000'000U);
 }
 
+// A node that read its large replies got an unknown outcome instead.
+BOOST_FIXTURE_TEST_CASE(RepliesToAPeerThatReadsAreNotReplaced,
+                        FrozenPeersFixture) {
+  constexpr Routing::AttemptId Count = 14;
+  UnitTests::RawSocket Reading(ServerPort, SmallBuffer);
+  sendRequests(Reading, 1, Count);
+  std::string Bytes;
+  std::thread Reader(
+      [&] { Bytes = Reading.readSlowly(256 << 10, Millis(5), Millis(3000)); });
+  for (Routing::AttemptId Id = 1; Id <= Count; ++Id)
+    answer(arrived(Id), ReplyBytes);
+  Reader.join();
+  const std::vector<Routing::CallReply> Replies = repliesIn(Bytes);
+  BOOST_TEST(Replies.size() == static_cast<std::size_t>(Count));
+  for (const Routing::CallReply &Reply : Replies) {
+    BOOST_TEST((Reply.Result == Common::ResultCode::Ok));
+    BOOST_TEST(Reply.Body.size() == ReplyBytes);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(RepliesToAllFrozenNodesAreBounded, FrozenPeersFixture) {
   constexpr Routing::AttemptId PeerCount = 6;
   constexpr Routing::AttemptId CallsOfPeer = 6;
