--- a/Source/Core/Kernel/Host.cpp
+++ b/Source/Core/Kernel/Host.cpp
@@ -83,14 +83,14 @@
   timespec Timeout = {};
   Timeout.tv_nsec = WaitTime.count();
   Common::SteadyTime LastWake = std::chrono::steady_clock::now();
-  Common::SteadyTime LastSignal = LastWake;
+  Common::SteadyTime LastCallback = LastWake;
   for (;;) {
     const int Signal = sigtimedwait(&Signals, nullptr, &Timeout);
     const int Error = errno;
     const Common::SteadyTime Now = std::chrono::steady_clock::now();
     const Common::SteadyTime PreviousWake = std::exchange(LastWake, Now);
     if (Signal == SIGHUP) {
-      LastSignal = Now;
+      LastCallback = Now;
       OnReload();
     } else if (Signal > 0) {
       // A delay within the time of a wait cannot be told from no delay.
@@ -101,8 +101,8 @@
               .count());
       return;
     } else if (Error == EAGAIN) {
-      if (HasIdleInterval && Now - LastSignal >= IdleInterval) {
-        LastSignal = Now;
+      if (HasIdleInterval && Now - LastCallback >= IdleInterval) {
+        LastCallback = Now;
         OnIdle();
       }
     } else if (Error != EINTR) {
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -1,5 +1,6 @@
 #include "Node/NodeSettings.h"
 
+#include <algorithm>
 #include <charconv>
 #include <map>
 #include <sstream>
@@ -202,6 +203,16 @@
   return Rules;
 }
 
+// Leaves the process time to end before the platform kills it, more where the
+// platform allows for slower VMs.
+Common::Micros drainLimitWithin(std::chrono::duration<double> Grace) {
+  constexpr double MarginShare = 1.0 / 12;
+  constexpr std::chrono::duration<double> MinMargin{0.5};
+  const auto Limit = Grace - std::max(MinMargin, Grace * MarginShare);
+  return std::max(Common::Micros(0),
+                  std::chrono::duration_cast<Common::Micros>(Limit));
+}
+
 NodeSettings readNodeSettings(const Common::Settings &From) {
   NodeSettings Result;
   Result.Name = From.text("node", "name");
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -81,4 +81,7 @@
 // that claims expire whose keys can still be used.
 NodeSettings readNodeSettings(const Common::Settings &From);
 
+// The drain limit of a process that is killed once Grace has passed.
+Common::Micros drainLimitWithin(std::chrono::duration<double> Grace);
+
 } // namespace Node
