--- a/Source/Core/Config/ConfigFollower.cpp
+++ b/Source/Core/Config/ConfigFollower.cpp
@@ -14,6 +14,24 @@
 
 } // namespace
 
+const char *readerEndName(ReaderEnd Reason) {
+  switch (Reason) {
+  case ReaderEnd::None:
+    return "none";
+  case ReaderEnd::Silent:
+    return "silent";
+  case ReaderEnd::Lost:
+    return "lost";
+  case ReaderEnd::Disconnected:
+    return "disconnected";
+  case ReaderEnd::Replaced:
+    return "replaced";
+  case ReaderEnd::TakeOver:
+    return "take-over";
+  }
+  return "unknown";
+}
+
 FollowActions ConfigFollower::start(Common::SteadyTime Now) {
   NextPeerRequest = Now;
   NextReadAt = Now + Options.PeerDiscoveryTime;
@@ -95,8 +113,10 @@
   WasOverdue = false;
 }
 
-FollowActions ConfigFollower::handleReaderFailure(Common::SteadyTime Now) {
+FollowActions ConfigFollower::handleReaderFailure(ReaderEnd Reason,
+                                                  Common::SteadyTime Now) {
   ReaderPolledAt.reset();
+  LastReaderEnd = Reason;
   std::erase_if(SuspendedReaders,
                 [&](const auto &Entry) { return Now >= Entry.second; });
   SuspendedReaders[PolledReader] = Now + Options.DirectReadTime;
@@ -108,6 +128,7 @@
   if (!ReaderPolledAt)
     return {};
   ReaderPolledAt.reset();
+  LastReaderEnd = ReaderEnd::TakeOver;
   TakingOver = true;
   return startRead(Now);
 }
@@ -122,7 +143,8 @@
   if (!ReaderPolledAt || Node != PolledReader)
     return {};
   ReaderPolledAt.reset();
-  return ReadsSource ? startRead(Now) : handleReaderFailure(Now);
+  return ReadsSource ? startRead(Now)
+                     : handleReaderFailure(ReaderEnd::Disconnected, Now);
 }
 
 FollowActions ConfigFollower::handlePeerLost(const std::string &Address,
@@ -133,7 +155,7 @@
       std::any_of(Readers.begin(), Readers.end(), [&](const FollowPeer &Peer) {
         return Peer.Node == PolledReader && Peer.Address == Address;
       });
-  return IsReader ? handleReaderFailure(Now) : FollowActions();
+  return IsReader ? handleReaderFailure(ReaderEnd::Lost, Now) : FollowActions();
 }
 
 FollowActions ConfigFollower::handleSourceAnswer(const SourceAnswer &Answer,
@@ -200,9 +222,10 @@
     scheduleRetry(Now);
     Actions = {CancelRead{}};
   } else if (IsReaderTimedOut) {
-    Actions = handleReaderFailure(Now);
+    Actions = handleReaderFailure(ReaderEnd::Silent, Now);
   } else if (IsReaderReplaced) {
     ReaderPolledAt.reset();
+    LastReaderEnd = ReaderEnd::Replaced;
     Actions = startRead(Now);
   } else if (NextReadAt && Now >= *NextReadAt) {
     Actions = startRead(Now);
--- a/Source/Core/Config/ConfigFollower.h
+++ b/Source/Core/Config/ConfigFollower.h
@@ -82,6 +82,22 @@
                                   RequestFromPeer, LongPollReader>;
 using FollowActions = std::vector<FollowAction>;
 
+// Why a node stopped long-polling a reader.
+enum class ReaderEnd {
+  None,
+  // No answer arrived in time.
+  Silent,
+  // The connection to the reader was lost.
+  Lost,
+  // The reader stated that it is disconnected from the source.
+  Disconnected,
+  // The members changed, and another node ranks first.
+  Replaced,
+  // Another node long-polls this one in place of the reader.
+  TakeOver,
+};
+const char *readerEndName(ReaderEnd Reason);
+
 // Decides for one node how it keeps up with a source that stores the newest set
 // permanently. In each data centre one node, chosen by rendezvous hashing, is
 // the reader and reads the source. The others long-poll the reader. A change
@@ -129,6 +145,8 @@
   std::string polledReader() const {
     return ReaderPolledAt ? PolledReader : "";
   }
+  // Why the last long poll of a reader ended without a usable answer.
+  ReaderEnd lastReaderEnd() const { return LastReaderEnd; }
   // Whether this node reads the source and the source answers, so that other
   // nodes may long-poll this one.
   bool isConnectedToSource(Common::SteadyTime Now) const;
@@ -139,7 +157,7 @@
 private:
   // Returns null when this node has to read the source itself.
   const FollowPeer *readerToPoll(Common::SteadyTime Now) const;
-  FollowActions handleReaderFailure(Common::SteadyTime Now);
+  FollowActions handleReaderFailure(ReaderEnd Reason, Common::SteadyTime Now);
   bool isReadOverdue(Common::SteadyTime Now) const;
   bool hasNoSet() const { return Held == 0; }
   std::vector<const FollowPeer *> requestCandidates(bool IsBehind) const;
@@ -157,6 +175,7 @@
   // The reader that was polled last, and when the pending poll began.
   std::string PolledReader;
   std::optional<Common::SteadyTime> ReaderPolledAt;
+  ReaderEnd LastReaderEnd = ReaderEnd::None;
   // This node reads the source directly until this time.
   Common::SteadyTime DirectReadUntil;
   // When the pending read of the source began or last made progress.
--- a/Source/Core/Node/SourceConfigService.h
+++ b/Source/Core/Node/SourceConfigService.h
@@ -82,10 +82,11 @@
       std::visit([this](const auto &Action) { this->perform(Action); }, Entry);
     if (const std::string Reader = Follower.polledReader();
         Reader != LoggedReader) {
-      spdlog::info("event=config-reader now={} before={} version={}",
+      spdlog::info("event=config-reader now={} before={} version={} reason={}",
                    Reader.empty() ? "none" : Reader,
                    LoggedReader.empty() ? "none" : LoggedReader,
-                   Follower.held());
+                   Follower.held(),
+                   Config::readerEndName(Follower.lastReaderEnd()));
       LoggedReader = Reader;
     }
     if (Follower.isReadFailing() != LoggedCutOff) {
