Count the failures of readers from the last confirmed version

Cause: each reader had a time limit of its own, 1.25 s from the start of the long poll. A node that found the first reader silent gave the second one the same time before it read the store itself, so that the limits added up to 2.5 s and two ticks. Only the members sometimes declared the second one dead before that.

Ruled out: a set that came and was refused or applied late (no set-refused; set-in-force 5 ms after the read began), a reader that was believed in although it had said that it is disconnected (no such reason).

Why it works: a node keeps when it last knew that its version was the newest. A reader is silent 950 ms after that; whoever is polled then has 400 ms, and after 1.25 s no further reader is polled. So the limits cannot add up, whichever way and in whichever order readers fail. A reader confirms its version at the end of each of its own reads instead of after one second, which shows its silence early. A node that reads in place of a reader which it left by itself lets its peers wait as one that was polled does, instead of sending all of them to the store.

The five tests named ReadsTheSourceInTime... and FollowsTheSecondReader..., and two of SourceConfigServices, failed before (7 checks).

--- a/Source/Core/Config/ConfigFollower.cpp
+++ b/Source/Core/Config/ConfigFollower.cpp
@@ -58,7 +58,8 @@
 
 // A node without a set does not long-poll a reader, because it hardly knows the
 // other members yet.
-const FollowPeer *ConfigFollower::readerToPoll(Common::SteadyTime Now) const {
+const FollowPeer *
+ConfigFollower::preferredReader(Common::SteadyTime Now) const {
   if (Held == 0 || ReadFailing || Now < DirectReadUntil)
     return nullptr;
   const auto Found =
@@ -69,6 +70,12 @@
   return Found == Readers.end() ? nullptr : &*Found;
 }
 
+const FollowPeer *ConfigFollower::readerToPoll(Common::SteadyTime Now) const {
+  const bool IsUnconfirmed =
+      ConfirmedAt && Now - *ConfirmedAt > Options.MaxUnconfirmed;
+  return IsUnconfirmed ? nullptr : preferredReader(Now);
+}
+
 bool ConfigFollower::isReadOverdue(Common::SteadyTime Now) const {
   return ReadingSince && Now - *ReadingSince > ReadWait + ReadSlack;
 }
@@ -87,13 +94,8 @@
   // This read also returns what the peers received during the delay.
   if (WasBatching)
     BehindSince.reset();
-  if (const FollowPeer *Reader = readerToPoll(Now)) {
-    ReadingSince.reset();
-    SourceResponding = false;
-    ReaderPolledAt = Now;
-    PolledReader = Reader->Node;
-    return {LongPollReader{Reader->Address, Options.ReaderWait}};
-  }
+  if (const FollowPeer *Reader = readerToPoll(Now))
+    return pollReader(*Reader, Now);
   ReadingSince = Now;
   WasOverdue = false;
   ReadWait = Options.SourceWait;
@@ -105,6 +107,26 @@
   return {ReadFrom{*Position, ReadWait}};
 }
 
+FollowActions ConfigFollower::pollReader(const FollowPeer &Reader,
+                                         Common::SteadyTime Now) {
+  ReadingSince.reset();
+  SourceResponding = false;
+  ReaderPolledAt = Now;
+  PolledReader = Reader.Node;
+  if (!ConfirmedAt)
+    ConfirmedAt = Now;
+  const Common::SteadyTime RegularLimit = *ConfirmedAt + Options.ReaderSilence;
+  const Common::SteadyTime TakeOverLimit = Now + Options.TakeOverSilence;
+  ReaderSilentAt = std::max(RegularLimit, TakeOverLimit);
+  const bool IsRegular = Now - *ConfirmedAt < Options.TakeOverWait;
+  return {LongPollReader{Reader.Address, IsRegular ? Options.ReaderWait
+                                                   : Options.TakeOverWait}};
+}
+
+bool ConfigFollower::isReaderSilent(Common::SteadyTime Now) const {
+  return ReaderPolledAt && Now > ReaderSilentAt;
+}
+
 void ConfigFollower::handleReadProgress(Common::SteadyTime Now) {
   if (!ReadingSince)
     return;
@@ -113,24 +135,27 @@
   WasOverdue = false;
 }
 
-FollowActions ConfigFollower::handleReaderFailure(ReaderEnd Reason,
-                                                  Common::SteadyTime Now) {
+FollowActions ConfigFollower::replaceReader(ReaderEnd Reason,
+                                            Common::SteadyTime Now) {
   ReaderPolledAt.reset();
   LastReaderEnd = Reason;
+  FollowActions Actions = startRead(Now);
+  TakingOver = !ReaderPolledAt;
+  return Actions;
+}
+
+FollowActions ConfigFollower::handleReaderFailure(ReaderEnd Reason,
+                                                  Common::SteadyTime Now) {
   std::erase_if(SuspendedReaders,
                 [&](const auto &Entry) { return Now >= Entry.second; });
   SuspendedReaders[PolledReader] = Now + Options.DirectReadTime;
-  return startRead(Now);
+  return replaceReader(Reason, Now);
 }
 
 FollowActions ConfigFollower::handleLongPoll(Common::SteadyTime Now) {
   DirectReadUntil = Now + Options.DirectReadTime;
-  if (!ReaderPolledAt)
-    return {};
-  ReaderPolledAt.reset();
-  LastReaderEnd = ReaderEnd::TakeOver;
-  TakingOver = true;
-  return startRead(Now);
+  return ReaderPolledAt ? replaceReader(ReaderEnd::TakeOver, Now)
+                        : FollowActions();
 }
 
 FollowActions ConfigFollower::handlePeerAnswer(const std::string &Node,
@@ -142,9 +167,11 @@
     return startRead(Now);
   if (!ReaderPolledAt || Node != PolledReader)
     return {};
+  if (!ReadsSource)
+    return handleReaderFailure(ReaderEnd::Disconnected, Now);
   ReaderPolledAt.reset();
-  return ReadsSource ? startRead(Now)
-                     : handleReaderFailure(ReaderEnd::Disconnected, Now);
+  ConfirmedAt = Now;
+  return startRead(Now);
 }
 
 FollowActions ConfigFollower::handlePeerLost(const std::string &Address,
@@ -171,6 +198,7 @@
     Backoff = Options.MinBackoff;
     Position = Answer.Next;
     SourceResponding = true;
+    ConfirmedAt = Now;
     if (Answer.Content.empty() || readerToPoll(Now))
       return startRead(Now);
     Batching = true;
@@ -207,10 +235,7 @@
 
 FollowActions ConfigFollower::tick(Common::SteadyTime Now) {
   FollowActions Actions;
-  const bool IsReaderTimedOut =
-      ReaderPolledAt &&
-      Now - *ReaderPolledAt > Options.ReaderWait + Options.ReaderSlack;
-  const FollowPeer *Reader = readerToPoll(Now);
+  const FollowPeer *Reader = preferredReader(Now);
   const bool IsReaderReplaced =
       ReaderPolledAt && (!Reader || Reader->Node != PolledReader);
   const bool IsOverdue = isReadOverdue(Now);
@@ -221,12 +246,10 @@
     ReadSlack = std::min(2 * ReadSlack, Options.MaxReadSlack);
     scheduleRetry(Now);
     Actions = {CancelRead{}};
-  } else if (IsReaderTimedOut) {
+  } else if (isReaderSilent(Now)) {
     Actions = handleReaderFailure(ReaderEnd::Silent, Now);
   } else if (IsReaderReplaced) {
-    ReaderPolledAt.reset();
-    LastReaderEnd = ReaderEnd::Replaced;
-    Actions = startRead(Now);
+    Actions = replaceReader(ReaderEnd::Replaced, Now);
   } else if (NextReadAt && Now >= *NextReadAt) {
     Actions = startRead(Now);
   }
--- a/Source/Core/Config/ConfigFollower.h
+++ b/Source/Core/Config/ConfigFollower.h
@@ -25,11 +25,21 @@
   // Every read that times out doubles the slack up to this limit, so that a
   // source that is slower than expected can still be read.
   Common::Micros MaxReadSlack{2'000'000};
-  // Long-poll wait at the reader of the data centre, and the additional time
-  // its answer may take. Both together leave time for a direct read of the
-  // source within the two seconds in which a change has to be in force.
-  Common::Micros ReaderWait{1'000'000};
-  Common::Micros ReaderSlack{250'000};
+  // Long-poll wait at the reader of the data centre. A reader answers as soon
+  // as a read of its own has shown that nothing is newer, and only at the end
+  // of this wait while the source is slow.
+  Common::Micros ReaderWait{850'000};
+  // How long a node relies on its reader without an answer: as long as a read
+  // of the source may take.
+  Common::Micros ReaderSilence{950'000};
+  // Long-poll wait and time limit of a poll when there is no recent answer from
+  // the previous reader. The next reader then has less time, so that the delays
+  // of several failed readers do not add up to more than a change may take.
+  Common::Micros TakeOverWait{200'000};
+  Common::Micros TakeOverSilence{400'000};
+  // A node that has not known for longer than this that its version is the
+  // newest polls no further reader and reads the source itself.
+  Common::Micros MaxUnconfirmed{1'250'000};
   // How long a node does not poll a reader that failed it: about the time that
   // it takes to detect a dead node and to agree on the next reader. A node that
   // is polled in place of a failed reader reads the source for the same time.
@@ -105,9 +115,11 @@
 // instead of the whole set. When the reader times out, is lost or gets no
 // answer from the source itself, the others long-poll the node with the second
 // rank, which takes over when it is polled. Only if that fails too do they read
-// the source directly. A node sends requests to its peers when they have a
-// newer set or when the source does not answer. The version in force never
-// decreases, wherever a set comes from.
+// the source directly. The time that all of this may take counts from when the
+// node last knew that its version was the newest, however many readers fail. A
+// node sends requests to its peers when they have a newer set or when the
+// source does not answer. The version in force never decreases, wherever a set
+// comes from.
 class ConfigFollower {
 public:
   ConfigFollower(FollowOptions NodeOptions, std::uint64_t Seed)
@@ -150,14 +162,22 @@
   // Whether this node reads the source and the source answers, so that other
   // nodes may long-poll this one.
   bool isConnectedToSource(Common::SteadyTime Now) const;
-  // Whether this node was polled in place of its reader and the source has not
-  // answered yet.
+  // Whether this node has begun to read the source in place of its reader, and
+  // the source has not answered yet.
   bool isTakingOver() const { return TakingOver; }
 
 private:
-  // Returns null when this node has to read the source itself.
+  // The best reader that has not failed this node; null when this node has to
+  // read the source itself.
+  const FollowPeer *preferredReader(Common::SteadyTime Now) const;
+  // The same for a new poll, which MaxUnconfirmed may rule out.
   const FollowPeer *readerToPoll(Common::SteadyTime Now) const;
   FollowActions handleReaderFailure(ReaderEnd Reason, Common::SteadyTime Now);
+  // Long-polls another reader, or reads the source, after the pending poll
+  // ended without a usable answer.
+  FollowActions replaceReader(ReaderEnd Reason, Common::SteadyTime Now);
+  FollowActions pollReader(const FollowPeer &Reader, Common::SteadyTime Now);
+  bool isReaderSilent(Common::SteadyTime Now) const;
   bool isReadOverdue(Common::SteadyTime Now) const;
   bool hasNoSet() const { return Held == 0; }
   std::vector<const FollowPeer *> requestCandidates(bool IsBehind) const;
@@ -172,9 +192,13 @@
   std::vector<FollowPeer> Readers;
   // Readers that failed this node, and until when it does not poll them.
   std::map<std::string, Common::SteadyTime> SuspendedReaders;
-  // The reader that was polled last, and when the pending poll began.
+  // The reader that was polled last, when the pending poll began, and until
+  // when it has to be answered.
   std::string PolledReader;
   std::optional<Common::SteadyTime> ReaderPolledAt;
+  Common::SteadyTime ReaderSilentAt;
+  // When the source or a reader last showed that no newer version exists.
+  std::optional<Common::SteadyTime> ConfirmedAt;
   ReaderEnd LastReaderEnd = ReaderEnd::None;
   // This node reads the source directly until this time.
   Common::SteadyTime DirectReadUntil;
--- a/Source/Core/Node/SourceConfigService.h
+++ b/Source/Core/Node/SourceConfigService.h
@@ -98,10 +98,8 @@
     }
     // When the source does not answer this node, peers that long-poll here are
     // answered at once, so that they read the source themselves.
-    if (!Cache.Waiters.empty() && !Follower.isConnectedToSource(now()) &&
-        !Follower.isTakingOver())
-      for (const auto &[Origin, Waiter] : std::exchange(Cache.Waiters, {}))
-        answerNothingNewer(Origin);
+    if (!Follower.isConnectedToSource(now()) && !Follower.isTakingOver())
+      answerWaitersNothingNewer();
   }
 
   void perform(const Config::ReadNewestSet &) {
@@ -143,6 +141,9 @@
     if (!Answer.Content.empty())
       install(Answer.Content, "source");
     act(Follower.handleSourceAnswer(Answer, now()));
+    // Shows the peers that this node is alive and the source answers it.
+    if (Answer.Code == Common::ResultCode::Ok)
+      answerWaitersNothingNewer();
   }
 
   void install(std::string Content, const std::string &Provider) {
@@ -242,10 +243,19 @@
       answerNothingNewer(Origin);
   }
 
+  std::string encodeHeldVersion() const {
+    return Wire::encodeReplication(Config::HeldVersion{
+        Settings.Name, Follower.held(), Follower.isConnectedToSource(now())});
+  }
   void answerNothingNewer(OriginId Origin) {
-    reply(Origin, Wire::encodeReplication(Config::HeldVersion{
-                      Settings.Name, Follower.held(),
-                      Follower.isConnectedToSource(now())}));
+    reply(Origin, encodeHeldVersion());
+  }
+  void answerWaitersNothingNewer() {
+    if (Cache.Waiters.empty())
+      return;
+    const std::string Encoded = encodeHeldVersion();
+    for (const auto &[Origin, Waiter] : std::exchange(Cache.Waiters, {}))
+      reply(Origin, Encoded);
   }
 
   // Sends a patch when the requester holds one of the cached sets, else the
--- a/Source/UnitTests/Config/ConfigFollowerTests.cpp
+++ b/Source/UnitTests/Config/ConfigFollowerTests.cpp
@@ -1,3 +1,5 @@
+#include <functional>
+
 #include <boost/test/unit_test.hpp>
 
 #include "Common/Rendezvous.h"
@@ -225,25 +227,51 @@
   BOOST_TEST(!Follower.isConnectedToSource(Now));
 }
 
+namespace {
+
+// A node of the third rank in its data centre.
+struct ThirdRankFixture : FollowerFixture {
+  FollowOptions Options;
+  std::vector<std::string> Ranked;
+
+  ThirdRankFixture() {
+    Options.Node = "n";
+    Options.DataCentre = "x";
+    // Finds two names that rank before the name of the tested node.
+    for (int Suffix = 0; Ranked.size() < 3 || Ranked[2] != "n"; ++Suffix)
+      Ranked = Common::rankByRendezvous(
+          "reader/x",
+          {"n", "a" + std::to_string(Suffix), "b" + std::to_string(Suffix)});
+    Follower = ConfigFollower(Options, 1);
+    Peers = {{Ranked[0], "x", "first:1", 3}, {Ranked[1], "x", "second:1", 3}};
+    startWithoutPeers();
+    Follower.setPeers(Peers);
+    Follower.adoptVersion(3);
+  }
+  // Runs ticks until the node reads the source and returns how long that took.
+  // Events are called with the time since the start before each tick.
+  Millis timeToRead(const std::function<FollowActions(Millis)> &OnTick = {}) {
+    constexpr Millis Limit{10'000};
+    for (Millis Elapsed{0}; Elapsed < Limit; Elapsed += Millis(50)) {
+      FollowActions Actions = OnTick ? OnTick(Elapsed) : FollowActions();
+      if (Elapsed % Millis(100) == Millis(0))
+        for (FollowAction &Action : Follower.tick(Now))
+          Actions.push_back(std::move(Action));
+      if (count<ReadFrom>(Actions) + count<ReadNewestSet>(Actions) > 0)
+        return Elapsed;
+      Now += Millis(50);
+    }
+    return Limit;
+  }
+};
+
+} // namespace
+
 // Load pattern: the reader of 15 nodes is disconnected from the source while
 // changes arrive every second, on links of 7 Mbit/s. When every node read the
 // whole sets from the source, no processor time was left for calls.
 BOOST_FIXTURE_TEST_CASE(PollsTheSecondRankBeforeItReadsTheSource,
-                        FollowerFixture) {
-  FollowOptions Options;
-  Options.Node = "n";
-  Options.DataCentre = "x";
-  // Finds two names that rank before the name of the tested node.
-  std::vector<std::string> Ranked;
-  for (int Suffix = 0; Ranked.size() < 3 || Ranked[2] != "n"; ++Suffix)
-    Ranked =
-        Common::rankByRendezvous("reader/x", {"n", "a" + std::to_string(Suffix),
-                                              "b" + std::to_string(Suffix)});
-  Follower = ConfigFollower(Options, 1);
-  startWithoutPeers();
-  Follower.setPeers(
-      {{Ranked[0], "x", "first:1", 3}, {Ranked[1], "x", "second:1", 3}});
-  Follower.adoptVersion(3);
+                        ThirdRankFixture) {
   const auto FirstPoll = answer(ResultCode::Ok, 7);
   BOOST_REQUIRE_EQUAL(count<LongPollReader>(FirstPoll), 1);
   BOOST_TEST(std::get<LongPollReader>(FirstPoll[0]).Address == "first:1");
@@ -259,6 +287,74 @@
   BOOST_TEST(std::get<LongPollReader>(Again[0]).Address == "first:1");
 }
 
+namespace {
+
+// A change has to be in force two seconds after its acknowledgement. A read of
+// the source may take up to MinReadSlack of that.
+constexpr Millis ReadStartLimit{1'650};
+
+} // namespace
+
+// Guards against an old configuration in force for longer than two seconds
+// after a change: both nodes that read the source for the data centre lost
+// power, and the time limits of the two long polls added up.
+BOOST_FIXTURE_TEST_CASE(ReadsTheSourceInTimeWhenBothReadersAreSilent,
+                        ThirdRankFixture) {
+  BOOST_REQUIRE_EQUAL(count<LongPollReader>(answer(ResultCode::Ok, 7)), 1);
+  BOOST_TEST((timeToRead() <= ReadStartLimit));
+}
+
+// The connection to the first reader is lost shortly before its long poll would
+// have timed out.
+BOOST_FIXTURE_TEST_CASE(ReadsTheSourceInTimeWhenOneReaderIsLostAndOneIsSilent,
+                        ThirdRankFixture) {
+  answer(ResultCode::Ok, 7);
+  BOOST_TEST((timeToRead([this](Millis Elapsed) {
+                return Elapsed == Millis(900)
+                           ? Follower.handlePeerLost("first:1", Now)
+                           : FollowActions();
+              }) <= ReadStartLimit));
+}
+
+// The members change while the readers are silent, so that other nodes rank
+// first in turn.
+BOOST_FIXTURE_TEST_CASE(ReadsTheSourceInTimeWhenSilentReadersAreReplaced,
+                        ThirdRankFixture) {
+  answer(ResultCode::Ok, 7);
+  BOOST_TEST((timeToRead([this](Millis Elapsed) {
+                if (Elapsed == Millis(800))
+                  Follower.setPeers({Peers[1]});
+                return FollowActions();
+              }) <= ReadStartLimit));
+}
+
+// The first reader loses the source without an error and says so as soon as it
+// detects that. The second one is silent.
+BOOST_FIXTURE_TEST_CASE(ReadsTheSourceInTimeWhenOneReaderIsDisconnected,
+                        ThirdRankFixture) {
+  answer(ResultCode::Ok, 7);
+  BOOST_TEST((timeToRead([this](Millis Elapsed) {
+                return Elapsed == Millis(1'150)
+                           ? Follower.handlePeerAnswer(Ranked[0], false, Now)
+                           : FollowActions();
+              }) <= ReadStartLimit));
+}
+
+// A second reader that answers is not passed over.
+BOOST_FIXTURE_TEST_CASE(FollowsTheSecondReaderWhileTheFirstIsSilent,
+                        ThirdRankFixture) {
+  answer(ResultCode::Ok, 7);
+  const auto Actions = runTicks(Millis(1'100));
+  BOOST_REQUIRE_EQUAL(count<LongPollReader>(Actions), 1);
+  BOOST_TEST(std::get<LongPollReader>(Actions[0]).Address == "second:1");
+  for (int Round = 0; Round < 2; ++Round) {
+    const auto Next = Follower.handlePeerAnswer(Ranked[1], true, Now);
+    BOOST_REQUIRE_EQUAL(count<LongPollReader>(Next), 1);
+    BOOST_TEST(std::get<LongPollReader>(Next[0]).Address == "second:1");
+    BOOST_TEST(runTicks(Millis(800)).empty());
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(TakesOverWhenItIsPolledInPlaceOfTheReader,
                         ReaderFixture) {
   pollReader();
--- a/Source/UnitTests/Node/SourceConfigServiceTests.cpp
+++ b/Source/UnitTests/Node/SourceConfigServiceTests.cpp
@@ -56,6 +56,8 @@
 using Control = UnitTests::RecordingSink<Node::ControlMessage>;
 using Service = Node::SourceConfigService<FakeSource, Ingress, Control>;
 
+constexpr const char *DataCentre = "leicester";
+
 // A node with a fake source and recording sinks. Without a running task, it is
 // driven on the thread of the test.
 struct TestNode {
@@ -63,7 +65,7 @@
            const std::string &Name) {
     Node::NodeSettings Settings;
     Settings.Name = Name;
-    Settings.DataCentre = "leicester";
+    Settings.DataCentre = DataCentre;
     Settings.LogWait = FollowOptions().SourceWait;
     auto NewSource = std::make_unique<FakeSource>();
     Source = NewSource.get();
@@ -94,6 +96,21 @@
     receive(Request);
   }
 
+  // Makes these nodes the other live members of the data centre.
+  void introduce(const std::vector<std::string> &Others) {
+    std::vector<Membership::Member> Members;
+    for (const std::string &Other : Others) {
+      Membership::Member Peer;
+      Peer.Node = Other;
+      Peer.DataCentre = DataCentre;
+      Peer.Address = "10.0.0." + std::to_string(Members.size() + 1);
+      Members.push_back(std::move(Peer));
+    }
+    Tested->handle(Node::MembersChanged{
+        std::make_shared<const std::vector<Membership::Member>>(
+            std::move(Members))});
+  }
+
   std::vector<Node::ConfigAccepted> InForce;
   std::vector<Node::ControlMessage> Sent;
   FakeSource *Source = nullptr;
@@ -158,8 +175,6 @@
 
 // A reader and a node that long-polls it, on a running task.
 struct ReaderAndFollower {
-  static constexpr const char *DataCentre = "leicester";
-
   Kernel::Task Worker{"t"};
   Kernel::Registry Names;
   std::unique_ptr<TestNode> Reader;
@@ -192,12 +207,7 @@
   }
 
   static void introduce(TestNode &Node, const std::string &Other) {
-    Membership::Member Peer;
-    Peer.Node = Other;
-    Peer.DataCentre = DataCentre;
-    Peer.Address = "10.0.0.1";
-    Node.Tested->handle(Node::MembersChanged{
-        std::make_shared<const std::vector<Membership::Member>>(1, Peer)});
+    Node.introduce({Other});
   }
   // Delivers the messages between both nodes and answers the follower's reads.
   void exchangeMessages() {
@@ -249,6 +259,59 @@
   BOOST_TEST(waitFor([&] { return Holds(6); }, ApplyLimit));
 }
 
+// A reader answers as soon as its own read has shown that nothing is newer, so
+// that the nodes that long-poll it detect its silence early.
+BOOST_FIXTURE_TEST_CASE(WaitingPeersAreAnsweredAtTheEndOfARead,
+                        ReaderAndFollower) {
+  constexpr Common::Millis Limit{2'000};
+  Worker.runAndWait([this] { Reader->Source->answer(4); });
+  BOOST_REQUIRE(
+      waitFor([&] { return bool(Reader->Source->PendingRead); }, Limit));
+  Worker.runAndWait([&] {
+    const std::size_t SentBefore = Reader->Sent.size();
+    Reader->request(4, Limit);
+    BOOST_TEST(Reader->Sent.size() == SentBefore);
+    Reader->Source->answerNothing();
+    BOOST_REQUIRE(Reader->Sent.size() > SentBefore);
+    const auto Reply = std::get<HeldVersion>(Reader->lastSent());
+    BOOST_TEST(Reply.Held == 4);
+    BOOST_TEST(Reply.ReadsLog);
+  });
+}
+
+// Guards against a data centre that stays on an old set because both nodes that
+// read the source for it lost power right after a series of changes.
+BOOST_AUTO_TEST_CASE(ChangeIsInForceInTimeWhenBothReadersLosePower) {
+  constexpr Common::Millis ApplyLimit{2'000};
+  Kernel::Task Worker("t");
+  Kernel::Registry Names;
+  const auto Ranked = Common::rankByRendezvous(
+      std::string("reader/") + DataCentre, {"a", "b", "c"});
+  std::unique_ptr<TestNode> Third;
+  Worker.spawn();
+  Worker.runAndWait([&] {
+    Third = std::make_unique<TestNode>(Worker, Names, Ranked[2]);
+    Third->introduce({Ranked[0], Ranked[1]});
+    Third->Source->answer(4);
+    // The reader delivers the first change of the series. It does not answer
+    // any more when the second one is acknowledged, and nor does the other.
+    Third->receive(
+        SetSnapshot{Ranked[0], 5, CurrentRuleLevel, 0, {contentOf(5), {}}, 0});
+  });
+  const auto End = std::chrono::steady_clock::now() + ApplyLimit;
+  bool IsInForce = false;
+  while (!IsInForce && std::chrono::steady_clock::now() < End) {
+    Worker.runAndWait([&] {
+      if (Third->Source->PendingRead)
+        Third->Source->answer(6);
+      IsInForce = Third->InForce.back().Newest.SetVersion == 6;
+    });
+    std::this_thread::sleep_for(Common::Millis(5));
+  }
+  BOOST_TEST(IsInForce);
+  Worker.runAndWait([&] { Third.reset(); });
+}
+
 BOOST_FIXTURE_TEST_CASE(PatchOfAnotherBaseIsIgnored, Fixture) {
   Reader.Source->answer(4);
   SetSnapshot Mismatched{"peer", 6, CurrentRuleLevel, 4, {"", {}}, 0};
