Let the ingress read the service that its callers name

The main thread read the settings file and told the ingress the service on the VM. Now it only tells that the file may have changed, and the ingress reads it, so that what it believes about its callers is decided in one place of the product (Node::CallerService). The file is looked at as before: on SIGHUP and each second. caller-service logs each change and its source.

--- a/Source/Core/Node/CallCodec.h
+++ b/Source/Core/Node/CallCodec.h
@@ -38,4 +38,12 @@
   { Codec.isNotRun(Reply) } -> std::same_as<bool>;
 };
 
+// A codec that names the service on this VM as the caller of each call.
+template <class C>
+concept CallerNamingCodec = CallCodec<C> &&
+    requires(C &Codec, const std::string &Service) {
+  Codec.useService(Service);
+  { Codec.service() } -> std::same_as<const std::string &>;
+};
+
 } // namespace Node
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -10,10 +10,12 @@
 #include "Http/EdgeServer.h"
 #include "Kernel/Host.h"
 #include "Node/CallResponse.h"
+#include "Node/CallerService.h"
 #include "Node/ClaimedCall.h"
 #include "Node/MemoryShares.h"
 #include "Node/Messages.h"
 #include "Node/NodeSettings.h"
+#include "Node/ServiceSetting.h"
 #include "Once/PendingCalls.h"
 #include "Routing/Dispatcher.h"
 #include "Tenants/TenantGate.h"
@@ -43,14 +45,20 @@
     Kernel::Address<QuotaMessage> ToQuota = {};
   };
 
+  // Setting is where the service on this VM is stated, if that may change.
   IngressService(Kernel::Context Context, const NodeSettings &Settings,
                  Policy Choice, Sinks Targets, Codec HttpCodec = Codec(),
-                 Budgets RetryBudget = Budgets())
+                 Budgets RetryBudget = Budgets(),
+                 std::optional<ServiceSetting> Setting = {})
       : Task(Context.ServiceTask), Settings(Settings),
         Targets(std::move(Targets)), HttpCodec(std::move(HttpCodec)),
         Calls(Settings.DataCentre, std::move(Choice), Settings.OpenCallLimit,
               std::move(RetryBudget)),
-        Gate(Settings.Quota) {}
+        Gate(Settings.Quota), Setting(std::move(Setting)) {
+    if constexpr (CallerNamingCodec<Codec>)
+      Caller = CallerService(this->HttpCodec.service(),
+                             std::chrono::system_clock::now());
+  }
 
   void start() {
     Http::EdgeLimits Limits;
@@ -134,9 +142,9 @@
     Targets.ToAdmin.post(VersionInForce{Event.Newest.SetVersion});
     Targets.ToMembers.post(VersionInForce{Event.Newest.SetVersion});
   }
-  void onMessage(const CallerServiceChanged &Event) {
-    if constexpr (requires { HttpCodec.useService(Event.Service); })
-      HttpCodec.useService(Event.Service);
+  void onMessage(const CheckSettings &Event) {
+    if (Setting && (Setting->HasChanged(now()) || Event.IsSignalled))
+      readServiceSetting();
   }
   void onMessage(const LoadReceived &Event) {
     Calls.handleLoadReport(Event.Server, Event.Load, now());
@@ -201,6 +209,29 @@
     finishDrainIfIdle();
   }
 
+  // Keeps the service of the last valid settings if the file is invalid now.
+  void readServiceSetting() {
+    try {
+      const std::string Service = Setting->Read();
+      spdlog::info("event=settings-reloaded service={}", Service);
+      Caller.handleSetting(Service, std::chrono::system_clock::now());
+      useCallerService("settings");
+    } catch (const Common::Error &Failure) {
+      spdlog::error("event=settings-reload-failed reason=\"{}\"",
+                    Failure.what());
+    }
+  }
+
+  void useCallerService(const char *Source) {
+    if constexpr (CallerNamingCodec<Codec>) {
+      if (HttpCodec.service() == Caller.current())
+        return;
+      spdlog::info("event=caller-service now={} before={} by={}",
+                   Caller.current(), HttpCodec.service(), Source);
+      HttpCodec.useService(Caller.current());
+    }
+  }
+
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
   static std::int64_t microsSince(Common::SteadyTime Start) {
     return std::chrono::duration_cast<Common::Micros>(now() - Start).count();
@@ -438,6 +469,8 @@
   Codec HttpCodec;
   Routing::Dispatcher<Policy, Budgets> Calls;
   Tenants::TenantGate Gate;
+  std::optional<ServiceSetting> Setting;
+  CallerService Caller;
   Config::ObjectSetPtr Set;
   Once::PendingCalls<Routing::CallStart> Pending;
   // Calls that run under a granted claim.
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -80,9 +80,9 @@
   Common::ResultCode Code = Common::ResultCode::Ok;
   std::optional<Routing::CallReply> RecordedReply;
 };
-// The service on this VM in whose name callers make their calls.
-struct CallerServiceChanged {
-  std::string Service;
+// The settings file may have changed. IsSignalled is whether a signal said so.
+struct CheckSettings {
+  bool IsSignalled = false;
 };
 struct LoadReceived {
   std::string Server;
@@ -99,7 +99,7 @@
 };
 using IngressMessage =
     std::variant<ConfigAccepted, ServersChanged, ReplyArrived, NodeLost,
-                 NodeSilent, ClaimDecided, CallerServiceChanged, LoadReceived,
+                 NodeSilent, ClaimDecided, CheckSettings, LoadReceived,
                  DataCentresUnreachable, VersionPolicyChanged, QuotaGranted>;
 
 struct SendRequest {
