Learn at each call and announcement which service is on the VM

Cause: without a signal, a timer looked at the settings file once a second, and nothing else said which service is on the VM. The announcement of the new server, which names its service, went to the routing alone. So the ingress held on to a belief although newer news had reached the node.

Why it works: the ingress looks at the file when a request arrives, at most once a millisecond, so that the cost does not grow with the load, and is told of each announcement that is in force before the announcement is acknowledged. The newer of both counts: a server that started after the settings were read overrides them, and a change of the settings overrides the announcements of servers that started before it, as these may arrive late.

Nothing else in the file is read again while a node runs.

--- a/Source/Core/Common/FileWatch.cpp
+++ b/Source/Core/Common/FileWatch.cpp
@@ -4,15 +4,28 @@
 
 namespace Common {
 
+namespace {
+
+// More than the resolution of modification times in common file systems.
+constexpr Millis SettleTime{20};
+
+} // namespace
+
 FileWatch::FileWatch(std::string File) : File(std::move(File)) {
   LastSignature = fileSignature();
 }
 
-bool FileWatch::hasChanged() {
+bool FileWatch::hasChanged(SteadyTime Now) {
   std::string Signature = fileSignature();
-  if (Signature.empty() || Signature == LastSignature)
+  if (!Signature.empty() && Signature != LastSignature) {
+    LastSignature = std::move(Signature);
+    SettledAt = Now + SettleTime;
+    return true;
+  }
+  // The file may have been written again without a change of the signature.
+  if (!SettledAt || Now < *SettledAt)
     return false;
-  LastSignature = std::move(Signature);
+  SettledAt.reset();
   return true;
 }
 
--- a/Source/Core/Node/AnnouncementService.h
+++ b/Source/Core/Node/AnnouncementService.h
@@ -29,6 +29,8 @@
     Members ToMembers;
     Directory ToDirectory;
     Edge ToEdge;
+    // Closed if the ingress does not name the service on this VM.
+    Kernel::Address<IngressMessage> ToIngress = {};
   };
 
   AnnouncementService(Kernel::Context Context, std::function<Sinks()> FindSinks)
@@ -131,6 +133,8 @@
       Announced.Departed = Filter.departed();
     Targets.ToBackend.post(Announced);
     Targets.ToMembers.post(Announced);
+    Targets.ToIngress.post(
+        LocalServerAnnounced{Received.Server.Service, Received.StartTime});
   }
 
   // Acknowledges that the server leaves, once this is recorded.
--- a/Source/Core/Node/CallerService.cpp
+++ b/Source/Core/Node/CallerService.cpp
@@ -16,4 +16,10 @@
   Current = Service;
 }
 
+void CallerService::handleAnnouncement(const std::string &Service,
+                                       Common::WallTime ServerStart) {
+  if (ServerStart > StatedAt)
+    Current = Service;
+}
+
 } // namespace Node
--- a/Source/Core/Node/CallerService.h
+++ b/Source/Core/Node/CallerService.h
@@ -16,6 +16,12 @@
   // The settings were read again.
   void handleSetting(const std::string &Service, Common::WallTime ReadAt);
 
+  // A server of this VM was announced. One that started after the settings were
+  // read is newer than what they state. The announcement of an earlier server
+  // may arrive late.
+  void handleAnnouncement(const std::string &Service,
+                          Common::WallTime ServerStart);
+
   const std::string &current() const { return Current; }
 
 private:
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -125,6 +125,8 @@
   static constexpr Common::Millis WriteOutTime{200};
   static constexpr std::size_t MaxBufferedSamples = 256;
   static constexpr Common::Millis SampleInterval{250};
+  // Bounds the cost of looking, however many requests arrive.
+  static constexpr Common::Millis SettingsLookInterval{1};
   // How long after the deadline the decision on a claim may arrive before the
   // call is answered without it.
   static constexpr Common::Millis ClaimSlack{100};
@@ -146,6 +148,10 @@
     if (Setting && (Setting->HasChanged(now()) || Event.IsSignalled))
       readServiceSetting();
   }
+  void onMessage(const LocalServerAnnounced &Event) {
+    Caller.handleAnnouncement(Event.Service, Event.ServerStart);
+    useCallerService("announcement");
+  }
   void onMessage(const LoadReceived &Event) {
     Calls.handleLoadReport(Event.Server, Event.Load, now());
   }
@@ -209,6 +215,17 @@
     finishDrainIfIdle();
   }
 
+  // No signal need tell that the settings have changed, so each call needs a
+  // recent look at them.
+  void lookAtSettings() {
+    const Common::SteadyTime Now = now();
+    if (!Setting || Now < NextSettingsLook)
+      return;
+    NextSettingsLook = Now + SettingsLookInterval;
+    if (Setting->HasChanged(Now))
+      readServiceSetting();
+  }
+
   // Keeps the service of the last valid settings if the file is invalid now.
   void readServiceSetting() {
     try {
@@ -238,6 +255,7 @@
   }
 
   void handleRequest(Http::ExchangeId Id, Http::Request Request) {
+    lookAtSettings();
     Routing::CallStart Start = HttpCodec.toCallStart(
         static_cast<Routing::CallId>(Id), std::move(Request),
         Settings.Name + "-" + std::to_string(Id));
@@ -471,6 +489,7 @@
   Tenants::TenantGate Gate;
   std::optional<ServiceSetting> Setting;
   CallerService Caller;
+  Common::SteadyTime NextSettingsLook;
   Config::ObjectSetPtr Set;
   Once::PendingCalls<Routing::CallStart> Pending;
   // Calls that run under a granted claim.
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -80,6 +80,11 @@
   Common::ResultCode Code = Common::ResultCode::Ok;
   std::optional<Routing::CallReply> RecordedReply;
 };
+// The backend server beside this node announced itself.
+struct LocalServerAnnounced {
+  std::string Service;
+  Common::WallTime ServerStart;
+};
 // The settings file may have changed. IsSignalled is whether a signal said so.
 struct CheckSettings {
   bool IsSignalled = false;
@@ -99,8 +104,9 @@
 };
 using IngressMessage =
     std::variant<ConfigAccepted, ServersChanged, ReplyArrived, NodeLost,
-                 NodeSilent, ClaimDecided, CheckSettings, LoadReceived,
-                 DataCentresUnreachable, VersionPolicyChanged, QuotaGranted>;
+                 NodeSilent, ClaimDecided, CheckSettings, LocalServerAnnounced,
+                 LoadReceived, DataCentresUnreachable, VersionPolicyChanged,
+                 QuotaGranted>;
 
 struct SendRequest {
   Routing::NodeAddress Address;
--- a/Source/UnitTests/Common/BoundedLogTests.cpp
+++ b/Source/UnitTests/Common/BoundedLogTests.cpp
@@ -94,14 +94,30 @@
 BOOST_AUTO_TEST_CASE(FileWatchDetectsARewrittenFile) {
   const std::string File = "file-watch-test.ini";
   const Common::ScopeGuard Remove([&] { std::remove(File.c_str()); });
+  const Common::SteadyTime Now = std::chrono::steady_clock::now();
   std::ofstream(File) << "a = 1\n";
   Common::FileWatch Watch(File);
-  BOOST_TEST(!Watch.hasChanged());
+  BOOST_TEST(!Watch.hasChanged(Now));
   std::ofstream(File) << "a = 12\n";
-  BOOST_TEST(Watch.hasChanged());
-  BOOST_TEST(!Watch.hasChanged());
+  BOOST_TEST(Watch.hasChanged(Now));
+  BOOST_TEST(!Watch.hasChanged(Now));
   std::remove(File.c_str());
-  BOOST_TEST(!Watch.hasChanged());
+  BOOST_TEST(!Watch.hasChanged(Now));
+}
+
+// Guards against a rewritten file that goes unnoticed, since it has the size
+// and the modification time that it had when it was read.
+BOOST_AUTO_TEST_CASE(FileWatchReportsAChangedFileAgainOnceItHasSettled) {
+  const std::string File = "file-watch-settle-test.ini";
+  const Common::ScopeGuard Remove([&] { std::remove(File.c_str()); });
+  const Common::SteadyTime Now = std::chrono::steady_clock::now();
+  std::ofstream(File) << "a = 1\n";
+  Common::FileWatch Watch(File);
+  std::ofstream(File) << "a = 12\n";
+  BOOST_TEST(Watch.hasChanged(Now));
+  BOOST_TEST(!Watch.hasChanged(Now + Common::Millis(5)));
+  BOOST_TEST(Watch.hasChanged(Now + Common::Millis(50)));
+  BOOST_TEST(!Watch.hasChanged(Now + Common::Millis(100)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
