Refuse a body that another response completes

Cause: a server broke off a response on a kept connection, and a late second copy of the response before followed. By its length the body was complete, so the bytes of the copy passed for the rest of it. The bytes that were left over only closed the connection.

Two faults of one server are needed, but the second one shows: its echoed id stands in the body.

Why it works: a body in which the status line and the echoed id of this response or of the last one on the connection begin is refused, and the call goes on as after any broken-off response. Bytes after a whole response, and a body that shows other messages, are accepted as before (AcceptsABodyThatShowsOtherMessages).

FailsOnABodyThatAnotherResponseCompletes failed before with 1, 30 and 200 missing bytes.

What remains: bytes that arrive only after the body has looked complete are not waited for, so a copy whose header has not arrived whole by then is not seen.

--- a/Source/Core/Http/KeepAliveClient.cpp
+++ b/Source/Core/Http/KeepAliveClient.cpp
@@ -11,6 +11,7 @@
 
 #include "Http/BeastConversions.h"
 #include "Http/BoundedBody.h"
+#include "Http/EmbeddedResponse.h"
 #include "Net/ByteStream.h"
 
 namespace Http {
@@ -38,9 +39,12 @@
 // responses to other requests.
 class ResponseReader {
 public:
-  ResponseReader(const KeepAliveRequest &Request, const ResponseLimits &Limits)
+  // EarlierEcho marks the last response on the same connection, which a faulty
+  // server may send once more; empty for the first one.
+  ResponseReader(const KeepAliveRequest &Request, const ResponseLimits &Limits,
+                 std::string EarlierEcho)
       : Limits(Limits), Method(Request.Method),
-        EchoedField(Request.EchoedField) {
+        EchoedField(Request.EchoedField), EarlierEcho(std::move(EarlierEcho)) {
     const auto Sent = Request.Fields.find(EchoedField);
     if (Sent != Request.Fields.end())
       ExpectedEcho = Sent->second;
@@ -61,6 +65,7 @@
   // Whether bytes that belong to no request follow the response.
   bool hasTrailingBytes() const { return !Incoming.empty(); }
   bool mayKeepAlive() const { return KeepAlive; }
+  const std::string &expectedEcho() const { return ExpectedEcho; }
   Response takeResponse() { return std::move(Parsed); }
   std::size_t bufferedBytes() const {
     return Incoming.size() + CurrentParser->get().body().Text.size();
@@ -89,6 +94,10 @@
         resetParser();
         continue;
       }
+      const EchoMark Mark{EchoedField, {ExpectedEcho, EarlierEcho}};
+      if (!ExpectedEcho.empty() &&
+          containsResponse(Parsed.Body, Incoming, Mark, Limits.HeaderBytes))
+        return malformed("another response begins inside the body");
       return Progress::Done;
     }
   }
@@ -152,6 +161,7 @@
   std::string Method;
   std::string EchoedField;
   std::string ExpectedEcho;
+  std::string EarlierEcho;
   std::string Incoming;
   std::unique_ptr<Parser> CurrentParser;
   Response Parsed;
@@ -213,6 +223,8 @@
     std::string Server;
     TransferId CurrentTransfer = 0;
     std::optional<ResponseReader> Reader;
+    // What marked the last response on this connection.
+    std::string LastEcho;
     SteadyTime IdleSince;
     Common::Duration IdleTimeout = DefaultIdleTimeout;
   };
@@ -293,7 +305,7 @@
     Selected = open();
   Connection &Assigned = Connections.at(Selected);
   Assigned.CurrentTransfer = Id;
-  Assigned.Reader.emplace(Started.Request, Limits);
+  Assigned.Reader.emplace(Started.Request, Limits, Assigned.LastEcho);
   Started.AssignedConnection = Selected;
   Assigned.Stream->writeOwned(encode(Started.Request, Assigned.Server));
 }
@@ -392,6 +404,7 @@
       !Served.Reader->hasSkipped() && Served.Stream->isConnected() &&
       Served.Stream->unsentBytes() == 0;
   if (Reusable) {
+    Served.LastEcho = Served.Reader->expectedEcho();
     Served.Reader.reset();
     Served.CurrentTransfer = 0;
     Served.IdleSince = now();
--- a/Source/UnitTests/Http/KeepAliveClientTests.cpp
+++ b/Source/UnitTests/Http/KeepAliveClientTests.cpp
@@ -182,6 +182,42 @@
   BOOST_TEST(connectionsOpened() == 2U);
 }
 
+// Guards against a body that is completed with bytes of another response: the
+// server breaks off a response on a kept connection and sends the one before it
+// once more. Here 1, 30 or 200 bytes of the body are missing.
+BOOST_FIXTURE_TEST_CASE(FailsOnABodyThatAnotherResponseCompletes, Fixture) {
+  const std::string Earlier = response("first", std::string(300, 'a'));
+  std::size_t Missing = 0;
+  OnRequest = [&](int Number, Net::ByteStream &Peer) {
+    const std::string Whole = response("second", std::string(300, 'b'));
+    Peer.write(Number % 2 == 1
+                   ? Earlier
+                   : Whole.substr(0, Whole.size() - Missing) + Earlier);
+  };
+  std::size_t Position = 0;
+  for (const std::size_t Bytes : {1, 30, 200}) {
+    Missing = Bytes;
+    send("first");
+    BOOST_TEST(result(++Position).Answered);
+    send("second");
+    BOOST_TEST(!result(++Position).Answered);
+    BOOST_TEST(result(Position).MayHaveRun);
+  }
+}
+
+// A server may show a request or a response that it logged.
+BOOST_FIXTURE_TEST_CASE(AcceptsABodyThatShowsOtherMessages, Fixture) {
+  const std::string Logged = "GET / HTTP/1.1\r\nX-Id: 2\r\n\r\n" +
+                             response("other", "a body that was logged");
+  OnRequest = [&](int Number, Net::ByteStream &Peer) {
+    Peer.write(response(std::to_string(Number), Logged));
+  };
+  for (std::size_t Number = 1; Number <= 3; ++Number) {
+    send(std::to_string(Number));
+    BOOST_TEST(result(Number).Reply.Body == Logged);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(FailsOnATruncatedOrMalformedResponse, Fixture) {
   OnRequest = [](int Number, Net::ByteStream &Peer) {
     if (Number == 1) {
