Cancel the long calls that the drain scenario does not use

Traced there: the scenario starts calls of 6 s until one runs beside another node than the first. Up to ten of them ran on server 0, took all 6 slots, and the load waited behind them.

The check is wrong in that it makes the overload that it reports. A call that runs on server 0 is cancelled now, so that its slot is free at once. All checks, bounds and the load are as before.

--- a/Tools/scenarios/drain.sh
+++ b/Tools/scenarios/drain.sh
@@ -58,7 +58,8 @@
 }
 # Starts long calls until one runs on a backend server N... and sets LongPid,
 # LongId and LongServer, the index of that server. A call that runs on
-# server 0 is not used, and the next one is started.
+# server 0 is cancelled, so that it keeps no slot from the load, and the next one
+# is started.
 start_long_call() { # ID N...
   local Id=$1 Attempt I
   shift
@@ -73,7 +74,11 @@
           return 0
         fi
       done
-      has_started 0 "$LongId" && break
+      if has_started 0 "$LongId"; then
+        kill "$LongPid"
+        wait "$LongPid" 2>/dev/null || true
+        break
+      fi
       sleep 0.02
     done
   done
