Test more crowds of callers, on the smallest machine of the users

Each kind of crowd was gone through against each place that holds its bytes: reader, parser, queue, copy to another node, answer; and against each listener: callers, readiness, control and operators. New are crowds with chunks of 64 KiB, trailers, pipelined requests, connections that close and open again, bodies for a server beside another node, and crowds at the readiness and the operators' listener. The stand-in of the backend server gives answers of a size that the request names.

--- a/Source/StandIns/Backend/BackendServer.cpp
+++ b/Source/StandIns/Backend/BackendServer.cpp
@@ -1,6 +1,7 @@
 #include "StandIns/Backend/BackendServer.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <sstream>
 #include <utility>
 
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr Common::Millis AnnounceInterval{500};
+constexpr std::size_t MaxAnswerBytes = 64 << 20;
 
 std::string findQueryText(const std::string &Target, const std::string &Name) {
   std::size_t At = Target.find('?');
@@ -26,6 +28,13 @@
   return "";
 }
 
+// The least size of the answer that a request asks for.
+std::size_t answerBytes(const std::string &Target) {
+  const std::string Text = findQueryText(Target, "answer-bytes");
+  return std::min<std::size_t>(std::strtoull(Text.c_str(), nullptr, 10),
+                               MaxAnswerBytes);
+}
+
 std::optional<Common::SteadyTime> deadlineOf(const Http::Request &Request) {
   const auto Field = Request.Fields.find("x-deadline-ms");
   if (Field == Request.Fields.end())
@@ -99,27 +108,28 @@
 void BackendServer::startWork(Http::ExchangeId Id,
                               const Http::Request &Request) {
   ++BusySlots;
-  const std::string CallerId = findQueryText(Request.Target, "id");
-  ++Ledger[CallerId];
+  Answer Reply{findQueryText(Request.Target, "id"),
+               answerBytes(Request.Target)};
+  ++Ledger[Reply.CallerId];
   const Common::Micros Work = workTime(Request.Target);
   if (Faults.Hang) {
     ++HungCalls;
     return;
   }
   if (Work.count() == 0)
-    finishWork(Id, CallerId);
+    finishWork(Id, Reply);
   else
-    Timers.after(Work, [this, Id, CallerId] { finishWork(Id, CallerId); });
+    Timers.after(Work, [this, Id, Reply] { finishWork(Id, Reply); });
 }
 
-void BackendServer::finishWork(Http::ExchangeId Id,
-                               const std::string &CallerId) {
+void BackendServer::finishWork(Http::ExchangeId Id, const Answer &Reply) {
   --BusySlots;
   if (!Listener)
     return;
-  Listener->respond(Id, {200,
-                         {{"content-type", "text/plain"}},
-                         "id=" + CallerId + " server=" + Options.Name + "\n"});
+  std::string Body = "id=" + Reply.CallerId + " server=" + Options.Name + "\n";
+  Body.resize(std::max(Body.size(), Reply.Bytes), '.');
+  Listener->respond(Id,
+                    {200, {{"content-type", "text/plain"}}, std::move(Body)});
   startNextQueued();
 }
 
--- a/Source/StandIns/Backend/BackendServer.h
+++ b/Source/StandIns/Backend/BackendServer.h
@@ -56,8 +56,9 @@
 //   GET  /standin/ledger         lines of "ID runs"
 //   POST /standin/faults         INI: [faults] slow-factor, shed, hang,
 //                                cold-calls, cold-factor, silent
-// A request can set its own work time with ?work-us=N. A request whose
-// x-deadline-ms passes while it is queued here is shed.
+// A request can set its own work time with ?work-us=N, and the least size of
+// its answer with ?answer-bytes=N. A request whose x-deadline-ms passes while
+// it is queued here is shed.
 class BackendServer {
 public:
   using Message = std::variant<SetBackendFaults>;
@@ -71,7 +72,13 @@
 private:
   void handleRequest(Http::ExchangeId Id, const Http::Request &Request);
   void startWork(Http::ExchangeId Id, const Http::Request &Request);
-  void finishWork(Http::ExchangeId Id, const std::string &CallerId);
+  // What a request asks its answer to be.
+  struct Answer {
+    std::string CallerId;
+    std::size_t Bytes = 0;
+  };
+
+  void finishWork(Http::ExchangeId Id, const Answer &Reply);
   void startNextQueued();
   void releaseHungCalls();
   void shed(Http::ExchangeId Id);
--- a/Tools/scenarios/crowd.py
+++ b/Tools/scenarios/crowd.py
@@ -22,6 +22,13 @@
 QUIET_SECONDS = 2
 SENDING_SECONDS = 60
 ORDINARY_ATTEMPTS = 20
+# The rounds of a crowd that closes its connections and opens new ones.
+CHURN_ROUNDS = 12
+CHURN_QUIET_SECONDS = 0.3
+# The answers that servers are asked for, and how long they work on a request.
+ANSWER_BYTES = 7_000_000
+REMOTE_ANSWER_BYTES = 3 << 20
+WORK_MICROS = 3_000_000
 
 
 def head(path, lines):
@@ -57,6 +64,30 @@
     return [head(path, "Transfer-Encoding: chunked\r\n") + one * (total // chunk)]
 
 
+def asking_for(path, answer):
+    return [f"GET {path}?answer-bytes={answer} HTTP/1.1\r\nHost: crowd\r\n\r\n".encode()]
+
+
+def with_trailers(path):
+    """A chunked request whose trailer section stops short of its last line."""
+    lines = filled_head(path, odd_line, "")
+    start = head(path, "Transfer-Encoding: chunked\r\n") + b"1\r\nx\r\n0\r\n"
+    return [start + lines[lines.index(b"crowd\r\n") + 7 : -2]]
+
+
+def with_extensions(path):
+    """Chunks of one byte, each with an extension of 4 KiB."""
+    one = b"1;e=" + b"x" * 4096 + b"\r\nx\r\n"
+    return [head(path, "Transfer-Encoding: chunked\r\n") + one * 64 + one[:4000]]
+
+
+def pipelined(path):
+    """A request that the server works on, and a long one behind it."""
+    first = f"GET {path}?work-us={WORK_MICROS} HTTP/1.1\r\nHost: crowd\r\n\r\n"
+    second = with_length(path, 1 << 20, (1 << 20) - 1)
+    return [first.encode()] + second
+
+
 # Each kind of crowd: the number of clients, whether all send piece by piece in
 # turn, and the bytes that each one sends.
 def crowd(kind, path, body):
@@ -76,6 +107,30 @@
         return 48, True, chunked(path, 8, 3 << 20)
     if kind == "control-bodies":
         return 200, True, with_length(path, 1 << 20, (1 << 20) - 1)
+    if kind == "byte-chunks":
+        return 600, True, chunked(path, 1, 400_000)
+    if kind == "medium-chunks":
+        return 160, True, chunked(path, 64 << 10, (4 << 20) - (64 << 10))
+    if kind == "trailers":
+        return 600, True, with_trailers(path)
+    if kind == "chunk-extensions":
+        return 600, True, with_extensions(path)
+    if kind == "pipelined":
+        return 600, True, pipelined(path)
+    if kind == "churn":
+        return 300, False, with_length(path, 512 << 10, (512 << 10) - 1)
+    if kind in ("ready-bodies", "admin-bodies"):
+        return 400, True, with_length(path, 1 << 20, (1 << 20) - 1)
+    if kind == "admin-lines":
+        return 900, False, [filled_head(path, odd_line, "Content-Length: 10\r\n")]
+    if kind == "remote-bodies":
+        return 160, False, with_length(
+            f"{path}?work-us={WORK_MICROS}", 4 << 20, 4 << 20
+        )
+    if kind == "unread-answers":
+        return 160, False, asking_for(path, ANSWER_BYTES)
+    if kind == "remote-answers":
+        return 160, False, asking_for(path, REMOTE_ANSWER_BYTES)
     if kind == "connections":
         return 1500, False, [b"POST " + path.encode()]
     raise SystemExit("unknown kind " + kind)
@@ -97,16 +152,16 @@
         self.socket.close()
 
 
-def play(address, count, in_turn, data):
+def play(address, count, in_turn, data, reads=True, quiet=QUIET_SECONDS):
     chooser = selectors.DefaultSelector()
     clients = []
-    both = selectors.EVENT_READ | selectors.EVENT_WRITE
+    both = selectors.EVENT_WRITE | (selectors.EVENT_READ if reads else 0)
     size = PIECE_BYTES if in_turn else len(data)
     for _ in range(count):
         clients.append(Client(address, data, size))
         chooser.register(clients[-1].socket, both, clients[-1])
     start = last = time.monotonic()
-    while time.monotonic() - last < QUIET_SECONDS:
+    while time.monotonic() - last < quiet:
         if time.monotonic() - start > SENDING_SECONDS:
             break
         for key, mask in chooser.select(0.1):
@@ -129,10 +184,23 @@
                 client.close()
                 continue
             if client.sent == len(client.data) and mask & selectors.EVENT_WRITE:
-                chooser.modify(client.socket, selectors.EVENT_READ, client)
+                if reads:
+                    chooser.modify(client.socket, selectors.EVENT_READ, client)
+                else:
+                    chooser.unregister(client.socket)
     return clients
 
 
+def play_kind(kind, address, path, body):
+    count, in_turn, parts = crowd(kind, path, body)
+    data = b"".join(parts)
+    if kind == "churn":
+        for _ in range(CHURN_ROUNDS):
+            for client in play(address, count, in_turn, data, quiet=CHURN_QUIET_SECONDS):
+                client.close()
+    return play(address, count, in_turn, data, reads=not kind.endswith("-answers"))
+
+
 def ordinary(address, path, wanted):
     for _ in range(ORDINARY_ATTEMPTS):
         try:
@@ -174,39 +242,40 @@
     parser.add_argument("--path", required=True)
     parser.add_argument("--body", type=int, default=BODY_BYTES)
     parser.add_argument("--ordinary", required=True, help="IP:port/path=status")
-    parser.add_argument("--pid", required=True, type=int)
+    parser.add_argument("--pid", required=True, type=int, nargs="+")
     parser.add_argument("--memory-mb", required=True, type=int)
     parser.add_argument("--descriptors", required=True, type=int)
     options = parser.parse_args()
 
     place, wanted = options.ordinary.split("=")
     target, path = place.split("/", 1)
-    at_rest = peak_kb(options.pid)
-    count, in_turn, parts = crowd(options.kind, options.path, options.body)
-    clients = play(options.address, count, in_turn, b"".join(parts))
+    at_rest = [peak_kb(pid) for pid in options.pid]
+    clients = play_kind(options.kind, options.address, options.path, options.body)
     failures = []
-    peak = fds = None
+    fds = []
     try:
-        fds = descriptors(options.pid)
+        fds = [descriptors(pid) for pid in options.pid]
         status = ordinary(host_port(target), "/" + path, wanted)
-        peak = peak_kb(options.pid)
         if status != wanted:
             failures.append(f"an ordinary request got {status}, not {wanted}")
     except OSError as error:
-        failures.append(f"the process has ended: {error}")
-    if peak is None:
-        failures.append("the process has ended")
-    elif peak > options.memory_mb << 10:
-        failures.append(f"peak of memory above {options.memory_mb} MB")
-    if fds is not None and fds > options.descriptors:
+        failures.append(f"a process has ended: {error}")
+    peaks = [peak_kb(pid) for pid in options.pid]
+    for peak in peaks:
+        if peak is None:
+            failures.append("a process has ended")
+        elif peak > options.memory_mb << 10:
+            failures.append(f"peak of memory above {options.memory_mb} MB")
+    if any(count > options.descriptors for count in fds):
         failures.append(f"more than {options.descriptors} descriptors")
     answers = {}
     for client in clients:
         answers[client.status or "none"] = answers.get(client.status or "none", 0) + 1
     print(
-        f"{options.kind}: {count} clients, {sum(c.open for c in clients)} still open, "
+        f"{options.kind}: {len(clients)} clients, "
+        f"{sum(c.open for c in clients)} still open, "
         f"sent {sum(c.sent for c in clients) >> 10} kB, answers {answers}; "
-        f"at rest {at_rest} kB, peak {peak} kB, descriptors {fds}"
+        f"at rest {at_rest} kB, peak {peaks} kB, descriptors {fds}"
     )
     for failure in failures:
         print("FAILED:", failure)
--- a/Tools/scenarios/crowd.sh
+++ b/Tools/scenarios/crowd.sh
@@ -2,7 +2,7 @@
 # A crowd of clients that nobody controls sends requests of legal size to a node
 # (Tools/scenarios/crowd.py). The node must live, stay within its memory and its
 # descriptors, and go on answering ordinary callers.
-# Usage: crowd.sh KIND
+# Usage: crowd.sh KIND [MEMORY-MB]
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 Bin=${Bin:-$PWD/build/release/bin}
@@ -12,16 +12,16 @@
 Kind=$1
 # The memory and the descriptors of the machine that the settings state. They are
 # far below those of real machines, so that a small crowd shows the fault.
-MemoryMb=128
+MemoryMb=${2:-128}
 Descriptors=1024
 ulimit -n 4096
 
-read -ra Ports <<<"$(free_ports 7)"
+read -ra Ports <<<"$(free_ports 12)"
 LogPort=${Ports[6]}
 start_log "$LogPort"
 wait_until 20 curl -s "http://127.0.0.1:$LogPort/"
 
-if [ "$Kind" = control-bodies ]; then
+start_sidecar() {
   cat >"$Run/sidecar.ini" <<I
 [node]
 name = s0
@@ -33,6 +33,8 @@
 port = ${Ports[1]}
 [members]
 port = ${Ports[2]}
+[admin]
+port = ${Ports[5]}
 [log]
 url = http://127.0.0.1:$LogPort
 [sidecar]
@@ -46,24 +48,51 @@
 I
   "$Bin/zinnia-sidecar" --settings "$Run/sidecar.ini" >"$Run/sidecar.log" 2>&1 &
   Pids+=($!)
-  NodePid=$!
-  Crowd=("127.0.0.1:${Ports[4]}" --path '/v1/rpc?call=instances.heartbeat&of=a')
+  NodePids=($!)
   # No configuration is in force, so the readiness check answers 503.
   Ordinary=127.0.0.1:${Ports[3]}/v1/readyz=503
   wait_until 20 curl -s "http://127.0.0.1:${Ports[3]}/v1/readyz"
-else
+}
+
+# A node with the backend server beside it, or beside a second node.
+start_mesh() { # REMOTE
   NodeSettings="memory-limit = $MemoryMb"$'\n'"descriptor-limit = $Descriptors"
   CallSettings='body-limit = 8388608'
   start_node n0 leicester "${Ports[0]}" "${Ports[1]}" "${Ports[2]}" \
     "${Ports[3]}" "127.0.0.1:${Ports[2]}" "$LogPort" "${Ports[5]}"
-  start_backend server-0 price-catalogue "${Ports[4]}" 6 "${Ports[3]}" 2ms
+  NodePids=("$NodePid")
+  local Admin=${Ports[3]}
+  if [ "$1" = yes ]; then
+    Admin=${Ports[10]}
+    start_node n1 leicester "${Ports[7]}" "${Ports[8]}" "${Ports[9]}" \
+      "$Admin" "127.0.0.1:${Ports[2]}" "$LogPort" "${Ports[11]}"
+    NodePids+=("$NodePid")
+  fi
+  start_backend server-0 price-catalogue "${Ports[4]}" 6 "$Admin" 2ms
   "$Bin/zinniactl" --log "http://127.0.0.1:$LogPort" --author crowd \
     publish Data/Ashcombe/set >/dev/null
   Crowd=("127.0.0.1:${Ports[0]}" --path /prices/crowd)
   Ordinary=127.0.0.1:${Ports[0]}/prices/base-set=200
   wait_until 20 curl -sf "http://127.0.0.1:${Ports[0]}/prices/base-set"
-fi
+}
+
+case "$Kind" in
+control-bodies)
+  start_sidecar
+  Crowd=("127.0.0.1:${Ports[4]}" --path '/v1/rpc?call=instances.heartbeat&of=a')
+  ;;
+ready-bodies)
+  start_sidecar
+  Crowd=("127.0.0.1:${Ports[3]}" --path /v1/readyz)
+  ;;
+admin-*)
+  start_sidecar
+  Crowd=("127.0.0.1:${Ports[5]}" --path /v1/servers)
+  ;;
+remote-*) start_mesh yes ;;
+*) start_mesh no ;;
+esac
 
 python3 Tools/scenarios/crowd.py "$Kind" --address "${Crowd[@]}" \
-  --ordinary "$Ordinary" --pid "$NodePid" --memory-mb "$MemoryMb" \
+  --ordinary "$Ordinary" --pid "${NodePids[@]}" --memory-mb "$MemoryMb" \
   --descriptors "$Descriptors"
