Count and give back the memory that a reader keeps

Cause: the buffer of received bytes kept the memory of its largest content, 64 KiB or more for each connection, after the parser had taken all of it. The budget counted its size, which was nearly nothing. The memory is given back now, and what is left counts as allocated.

--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <utility>
 
+#include "Common/Memory.h"
 #include "Http/BeastConversions.h"
 #include "Http/EdgeServerState.h"
 
@@ -33,8 +34,8 @@
 
 // The memory that the connection takes for its caller.
 std::size_t heldBytes(const Connection &Peer) {
-  std::size_t Result =
-      Peer.Stream->unsentBytes() + Peer.Incoming.size() + Peer.HeldBytes;
+  std::size_t Result = Peer.Stream->unsentBytes() +
+                       Common::allocatedBytes(Peer.Incoming) + Peer.HeldBytes;
   for (const OpenExchange &Exchange : Peer.Open)
     Result += Exchange.HeldBytes;
   return Result;
@@ -128,6 +129,7 @@
       break;
   }
   Peer.Incoming.erase(0, Offset);
+  Common::releaseSpareMemory(Peer.Incoming);
   Peer.RequestBytes += static_cast<std::int64_t>(Offset);
   if (Error && Error != beast::http::error::need_more) {
     reject(Id, Peer, statusForError(Error));
