Free the part of a response that is sent

Cause: the bytes that a connection had still to send were one string. It kept the memory of a whole message until its last byte was sent, and grew to twice the size of several, while the budgets of callers and peers counted the unsent bytes alone. Net::SendQueue keeps them in blocks that are freed as they are sent and sends them with one system call. The budget of callers counts what they take up; since that shrinks in steps, the progress of a caller is told from its unsent bytes.

--- a/Source/Core/Http/EdgeConnection.h
+++ b/Source/Core/Http/EdgeConnection.h
@@ -55,6 +55,9 @@
   bool Rejected = false;
   // When the current phase began.
   Common::SteadyTime PhaseStart;
+  // What the caller had still to take of the responses when it was last
+  // checked.
+  std::size_t UnsentBytes = 0;
   // While the connection closes: what the caller has still to take, and when it
   // last took something.
   std::size_t UndeliveredBytes = 0;
--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -34,7 +34,7 @@
 
 // The memory that the connection takes for its caller.
 std::size_t heldBytes(const Connection &Peer) {
-  std::size_t Result = Peer.Stream->unsentBytes() +
+  std::size_t Result = Peer.Stream->allocatedBytes() +
                        Common::allocatedBytes(Peer.Incoming) + Peer.HeldBytes;
   for (const OpenExchange &Exchange : Peer.Open)
     Result += Exchange.HeldBytes;
@@ -74,8 +74,13 @@
 
 // Keeps account of what is left after a response, which the caller may not have
 // taken yet.
-void EdgeServer::Impl::recordHeld(ConnectionId Id, const Connection &Peer) {
+void EdgeServer::Impl::recordHeld(ConnectionId Id, Connection &Peer) {
   const std::size_t Bytes = heldBytes(Peer);
+  const std::size_t Unsent = Peer.Stream->unsentBytes();
+  // The memory shrinks in steps, also for a caller that takes less at a time.
+  if (const std::size_t Before = std::exchange(Peer.UnsentBytes, Unsent);
+      Unsent < Before)
+    Budget.progressed(Id, Before - Unsent, now());
   if (Bytes == 0)
     Budget.release(Id);
   else
--- a/Source/Core/Http/EdgeServerState.h
+++ b/Source/Core/Http/EdgeServerState.h
@@ -43,7 +43,7 @@
   bool mayHold(ConnectionId Id, const Edge::Connection &Peer);
   void giveWay(const std::vector<ConnectionId> &Ids);
   void makeRoom();
-  void recordHeld(ConnectionId Id, const Edge::Connection &Peer);
+  void recordHeld(ConnectionId Id, Edge::Connection &Peer);
   void close(Edge::Connection &Peer);
   void handleClosed(ConnectionId Id, const std::string &Reason);
   void reportCut(const Edge::Connection &Peer, std::string_view Reason) const;
--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -13,6 +13,8 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include "Net/SendQueue.h"
+
 namespace Net {
 
 namespace {
@@ -23,8 +25,6 @@
 constexpr int MaxChunksPerIteration = 4;
 // Limit on the reads of what is left when a connection ends.
 constexpr int MaxFinalChunks = 128;
-// Room for outgoing bytes that a connection keeps when all are sent.
-constexpr std::size_t MaxKeptBytes = 64 << 10;
 // Time after which the kernel closes a connection with unacknowledged data. It
 // exceeds the longest series of retransmissions on the lossy links of the
 // users.
@@ -82,8 +82,7 @@
   bool HasSent = false;
   bool WriteFailed = false;
   bool PeerFinished = false;
-  std::string Outgoing;
-  std::size_t SentBytes = 0;
+  SendQueue Outgoing;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
@@ -178,13 +177,16 @@
 // Sends what the kernel takes at once. Returns false if the connection is
 // broken.
 bool ByteStream::Impl::sendOutgoing() {
-  while (SentBytes < Outgoing.size()) {
+  while (!Outgoing.empty()) {
+    std::vector<iovec> Parts = Outgoing.front();
+    msghdr Message = {};
+    Message.msg_iov = Parts.data();
+    Message.msg_iovlen = Parts.size();
     const ssize_t Count =
-        ::send(Stream.get_handle(), Outgoing.data() + SentBytes,
-               Outgoing.size() - SentBytes, MSG_NOSIGNAL);
+        ::sendmsg(Stream.get_handle(), &Message, MSG_NOSIGNAL);
     if (Count < 0)
       return wouldBlock();
-    SentBytes += static_cast<std::size_t>(Count);
+    Outgoing.remove(static_cast<std::size_t>(Count));
     HasSent = true;
   }
   return true;
@@ -196,11 +198,7 @@
     failWriting(errnoText());
     return;
   }
-  if (SentBytes == Outgoing.size()) {
-    if (Outgoing.capacity() > MaxKeptBytes)
-      std::string().swap(Outgoing);
-    Outgoing.clear();
-    SentBytes = 0;
+  if (Outgoing.empty()) {
     if (ClosingGracefully)
       Stream.close_writer();
     if (PeerFinished)
@@ -322,12 +320,9 @@
 }
 
 void ByteStream::writeOwned(std::string Bytes) {
-  if (!Self->Outgoing.empty() || Self->Closed || Self->ClosingGracefully ||
-      Self->WriteFailed) {
-    write(Bytes);
+  if (Self->Closed || Self->ClosingGracefully || Self->WriteFailed)
     return;
-  }
-  Self->Outgoing = std::move(Bytes);
+  Self->Outgoing.appendOwned(std::move(Bytes));
   Self->scheduleFlush();
 }
 
@@ -370,8 +365,10 @@
   return !Self->Connecting && !Self->Closed && !Self->WriteFailed;
 }
 
-std::size_t ByteStream::unsentBytes() const {
-  return Self->Outgoing.size() - Self->SentBytes;
+std::size_t ByteStream::unsentBytes() const { return Self->Outgoing.size(); }
+
+std::size_t ByteStream::allocatedBytes() const {
+  return Self->Outgoing.allocatedBytes();
 }
 
 std::size_t ByteStream::undeliveredBytes() const {
--- a/Source/Core/Net/ByteStream.h
+++ b/Source/Core/Net/ByteStream.h
@@ -52,7 +52,7 @@
   // bytes written in one iteration of the event loop are sent with one system
   // call.
   void write(std::string_view Bytes);
-  // Takes the bytes over instead of copying them if none are waiting.
+  // Takes the bytes over instead of copying them, unless a few follow others.
   void writeOwned(std::string Bytes);
   // Hands to the kernel what it takes at once, before the event loop would.
   void flush();
@@ -70,6 +70,8 @@
   // still be delivered.
   bool isConnected() const;
   std::size_t unsentBytes() const;
+  // The memory that the unsent bytes take up.
+  std::size_t allocatedBytes() const;
   // The unsent bytes, and those that the kernel has still to deliver.
   std::size_t undeliveredBytes() const;
   // The received bytes that the kernel still holds.
