Hand responses over instead of copying them

Cause: what the budget of callers counts once existed up to seven times for a moment. A body was copied from the reply to the response, into the exchange, behind its header section and into the stream, and between nodes into the frame, its encoded form and the stream; and a body with a length grew by doubling. All of these move now, the header section is sent apart from the body, and a body of known length has its memory from the start.

--- a/Source/Core/Http/BoundedBody.h
+++ b/Source/Core/Http/BoundedBody.h
@@ -13,7 +13,8 @@
 
 // A string body for Boost.Beast parsers. Parsing fails as soon as the announced
 // or the received length exceeds Limit. Beast's own string body isn't used
-// because it reserves memory for the announced length before it checks a limit.
+// because it reserves memory for the announced length before it checks a limit
+// of ours.
 // Beast prescribes the names of the nested types.
 struct BoundedBody {
   // NOLINTNEXTLINE(readability-identifier-naming)
@@ -33,6 +34,10 @@
     void init(const boost::optional<std::uint64_t> &ContentLength,
               boost::beast::error_code &Error) {
       check(ContentLength.value_or(0), Error);
+      // A string that grows by itself is copied each time, and takes up to
+      // twice its size.
+      if (!Error && ContentLength)
+        Target.Text.reserve(static_cast<std::size_t>(*ContentLength));
     }
 
     template <class Buffers>
--- a/Source/Core/Http/EdgeClosing.cpp
+++ b/Source/Core/Http/EdgeClosing.cpp
@@ -93,7 +93,7 @@
   Reply.Status = Status;
   if (Status == ServiceUnavailable)
     Reply.Fields["retry-after"] = RetryAfterSeconds;
-  Peer.Stream->write(encodeResponse(Reply, false, false));
+  Peer.Stream->write(encodeResponseHead(Reply, false));
   close(Peer);
   Peer.Rejected = true;
   Peer.RequestParser.reset();
--- a/Source/Core/Http/EdgeMessages.cpp
+++ b/Source/Core/Http/EdgeMessages.cpp
@@ -25,12 +25,6 @@
 // The parser and the call, without fields and body.
 constexpr std::size_t RequestBytes = 4 << 10;
 
-bool mayHaveBody(int Status) {
-  constexpr int NoContent = 204;
-  constexpr int NotModified = 304;
-  return Status != NoContent && Status != NotModified;
-}
-
 } // namespace
 
 std::unique_ptr<EdgeParser> makeEdgeParser(const EdgeLimits &Limits) {
@@ -76,8 +70,13 @@
   return BadRequest;
 }
 
-std::string encodeResponse(const Response &Reply, bool KeepAlive,
-                           bool WithBody) {
+bool mayHaveBody(int Status) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return Status != NoContent && Status != NotModified;
+}
+
+std::string encodeResponseHead(const Response &Reply, bool KeepAlive) {
   std::string Out = "HTTP/1.1 " + std::to_string(Reply.Status) + " ";
   Out.append(toView(beast::http::obsolete_reason(
       static_cast<beast::http::status>(Reply.Status))));
@@ -90,10 +89,6 @@
   if (!KeepAlive)
     appendField(Out, "connection", "close");
   Out.append("\r\n");
-  if (WithBody && mayHaveBody(Reply.Status)) {
-    Out.reserve(Out.size() + Reply.Body.size());
-    Out.append(Reply.Body);
-  }
   return Out;
 }
 
--- a/Source/Core/Http/EdgeMessages.h
+++ b/Source/Core/Http/EdgeMessages.h
@@ -33,7 +33,9 @@
 
 int statusForError(const boost::beast::error_code &Error);
 
-std::string encodeResponse(const Response &Reply, bool KeepAlive,
-                           bool WithBody);
+bool mayHaveBody(int Status);
+
+// The response without its body, which may be large and isn't copied.
+std::string encodeResponseHead(const Response &Reply, bool KeepAlive);
 
 } // namespace Http
--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -210,15 +210,16 @@
 // Sends the responses that no earlier request delays.
 void EdgeServer::Impl::sendReady(ConnectionId Id, Connection &Peer) {
   while (!Peer.Open.empty() && Peer.Open.front().Ready) {
-    const OpenExchange Answered = std::move(Peer.Open.front());
+    OpenExchange Answered = std::move(Peer.Open.front());
     Peer.Open.pop_front();
     Peer.LastAnswered = Answered.Id;
     // Requests that were received before the stop are answered first.
     const bool KeepAlive =
         Answered.KeepAlive && (!Draining || !Peer.Open.empty() || Peer.Held ||
                                Peer.PendingRejection || !Peer.Incoming.empty());
-    Peer.Stream->writeOwned(
-        encodeResponse(*Answered.Ready, KeepAlive, !Answered.OmitBody));
+    Peer.Stream->writeOwned(encodeResponseHead(*Answered.Ready, KeepAlive));
+    if (!Answered.OmitBody && mayHaveBody(Answered.Ready->Status))
+      Peer.Stream->writeOwned(std::move(Answered.Ready->Body));
     if (!KeepAlive) {
       Peer.HeldBytes = 0;
       Budget.release(Id);
@@ -282,7 +283,7 @@
   return Self->Budget.heldBytes();
 }
 
-void EdgeServer::respond(ExchangeId Id, const Response &Reply) {
+void EdgeServer::respond(ExchangeId Id, Response Reply) {
   const auto Entry = Self->Exchanges.extract(Id);
   if (Entry.empty())
     return;
@@ -290,8 +291,8 @@
   Connection &Peer = Self->Connections.at(ConnectionKey);
   for (OpenExchange &Exchange : Peer.Open)
     if (Exchange.Id == Id) {
-      Exchange.Ready = Reply;
       Exchange.HeldBytes = Reply.Body.size();
+      Exchange.Ready = std::move(Reply);
     }
   Self->sendReady(ConnectionKey, Peer);
 }
--- a/Source/Core/Http/EdgeServer.h
+++ b/Source/Core/Http/EdgeServer.h
@@ -39,7 +39,7 @@
   std::size_t openExchanges() const;
   std::size_t bufferedBytes() const;
   // Ignores an id that is no longer open, because its caller has disconnected.
-  void respond(ExchangeId Id, const Response &Reply);
+  void respond(ExchangeId Id, Response Reply);
   // Applies to requests that begin after the call.
   void useLimits(const EdgeLimits &Limits);
   // Closes each connection after its next response.
--- a/Source/Core/Http/KeepAliveClient.cpp
+++ b/Source/Core/Http/KeepAliveClient.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/beast/http/parser.hpp>
 
+#include "Common/Memory.h"
 #include "Http/BeastConversions.h"
 #include "Http/BoundedBody.h"
 #include "Http/EmbeddedResponse.h"
@@ -116,6 +117,7 @@
         break;
     }
     Incoming.erase(0, Offset);
+    Common::releaseSpareMemory(Incoming);
     if (Error && Error != beast::http::error::need_more)
       return malformed(Error.message());
     // The parser limits the header section, but neither chunk headers nor
--- a/Source/Core/Node/CallCodec.h
+++ b/Source/Core/Node/CallCodec.h
@@ -21,7 +21,7 @@
 template <class C>
 concept CallCodec = requires(const C &Codec, Routing::CallId Id,
                              Http::Request Incoming, const std::string &Name,
-                             const Routing::AnswerCaller &Answer,
+                             Routing::AnswerCaller Answer,
                              const Routing::CallRequest &Request,
                              const ServerRequestContext &Context,
                              const Http::Response &Reply) {
@@ -29,7 +29,7 @@
   {
     Codec.toCallStart(Id, std::move(Incoming), Name)
     } -> std::same_as<Routing::CallStart>;
-  { Codec.toResponse(Answer, Name) } -> std::same_as<Http::Response>;
+  { Codec.toResponse(std::move(Answer), Name) } -> std::same_as<Http::Response>;
   // The caller of this function sets Timeout and decides about resending.
   {
     Codec.toServerRequest(Request, Context)
--- a/Source/Core/Node/CallResponse.cpp
+++ b/Source/Core/Node/CallResponse.cpp
@@ -87,17 +87,17 @@
   return Result;
 }
 
-Http::Response toResponse(const Routing::CallReply &Reply, int Attempts,
+Http::Response toResponse(Routing::CallReply Reply, int Attempts,
                           const std::string &CorrelationId) {
   Http::Response Result;
-  Result.Fields = Reply.Fields;
+  Result.Fields = std::move(Reply.Fields);
   removeConnectionFields(Result.Fields);
   Result.Fields.erase("host");
   const std::string Number =
       std::to_string(Common::resultCodeNumber(Reply.Result));
   if (Reply.Result == ResultCode::Ok) {
     Result.Status = Reply.HttpStatus;
-    Result.Body = Reply.Body;
+    Result.Body = std::move(Reply.Body);
   } else {
     Result.Status = statusOf(Reply.Result);
     Result.Body = Number + " " +
--- a/Source/Core/Node/CallResponse.h
+++ b/Source/Core/Node/CallResponse.h
@@ -10,7 +10,7 @@
 namespace Node {
 
 // Builds the HTTP response to the caller from the reply to its call.
-Http::Response toResponse(const Routing::CallReply &Reply, int Attempts,
+Http::Response toResponse(Routing::CallReply Reply, int Attempts,
                           const std::string &CorrelationId);
 
 // Builds a call from a caller's request. The call id is the id of the caller's
@@ -25,9 +25,10 @@
               const std::string &DefaultCorrelationId) const {
     return Node::toCallStart(Id, std::move(Incoming), DefaultCorrelationId);
   }
-  Http::Response toResponse(const Routing::AnswerCaller &Answer,
+  Http::Response toResponse(Routing::AnswerCaller Answer,
                             const std::string &CorrelationId) const {
-    return Node::toResponse(Answer.Reply, Answer.Attempts, CorrelationId);
+    return Node::toResponse(std::move(Answer.Reply), Answer.Attempts,
+                            CorrelationId);
   }
   Http::KeepAliveRequest
   toServerRequest(const Routing::CallRequest &Request,
--- a/Source/Core/Node/IngressService.h
+++ b/Source/Core/Node/IngressService.h
@@ -356,9 +356,9 @@
     answer(Call, std::move(Refused));
   }
 
-  void act(const Routing::DispatchActions &Actions) {
-    for (const Routing::DispatchAction &Entry : Actions)
-      std::visit([this](const auto &Action) { this->perform(Action); }, Entry);
+  void act(Routing::DispatchActions Actions) {
+    for (Routing::DispatchAction &Entry : Actions)
+      std::visit([this](auto &Action) { this->perform(Action); }, Entry);
   }
 
   void endClaim(Routing::CallId Call, Common::ResultCode Code) {
@@ -386,7 +386,8 @@
   void perform(const Routing::CancelAttempt &Action) {
     Targets.ToPeers.post(SendCancel{Action.Node, Action.Attempt});
   }
-  void perform(const Routing::AnswerCaller &Action) {
+  // Hands the content of the answer over, which may be large.
+  void perform(Routing::AnswerCaller &Action) {
     if (ClaimedCalls.erase(Action.Call) > 0)
       Targets.ToClaims.post(ClaimedCallEnded{Action.Call, Action.Reply});
     const OpenCall Call = std::move(OpenCalls.extract(Action.Call).mapped());
@@ -395,9 +396,10 @@
         Action.Reply.Result != Common::ResultCode::TenantQuotaSpent)
       Gate.quotas().refund(Call.Tenant);
     logCall(Action, Call);
-    Listener->respond(static_cast<Http::ExchangeId>(Action.Call),
-                      HttpCodec.toResponse(Action, Call.CorrelationId));
     recordSample(Action, Call);
+    const auto Exchange = static_cast<Http::ExchangeId>(Action.Call);
+    Listener->respond(
+        Exchange, HttpCodec.toResponse(std::move(Action), Call.CorrelationId));
     finishDrainIfIdle();
   }
 
--- a/Source/Core/Node/PeersService.h
+++ b/Source/Core/Node/PeersService.h
@@ -196,7 +196,7 @@
     if (Command.ConnectLimit && !Connection.WasConnected &&
         !Connection.ConnectBy)
       Connection.ConnectBy = now() + *Command.ConnectLimit;
-    Connection.Socket->send(Wire::encodeFrame(Command.Request));
+    Connection.Socket->sendOwned(Wire::encodeFrame(Command.Request));
   }
 
   void onMessage(SendCancel &Command) {
@@ -249,22 +249,22 @@
     Found->second.Sharing.onLoadSent(Command.Reply.Load, now());
     InboundConnection &To = Found->second;
     To.Unanswered.erase(Command.Reply.Attempt);
-    std::string Encoded = Wire::encodeFrame(Command.Reply);
+    const Routing::CallReply Short = withoutContent(Command.Reply);
+    std::string Encoded = Wire::encodeFrame(std::move(Command.Reply));
     if (!makeRoom(Command.Origin, Encoded.size())) {
       replaceReply(Command.Origin, To, Encoded.size(),
-                   Wire::encodeFrame(withoutContent(Command.Reply)));
+                   Wire::encodeFrame(Short));
       return;
     }
     if (OnDrained || Encoded.size() <= SmallReplyBytes ||
         (To.Waiting.empty() && mayQueue(To, Encoded.size()))) {
-      To.Socket->send(Encoded);
+      To.Socket->sendOwned(std::move(Encoded));
       if (OnDrained)
         closeIfAnswered(To);
       return;
     }
     To.WaitingBytes += Encoded.size();
-    To.Waiting.push_back(
-        {std::move(Encoded), Wire::encodeFrame(withoutContent(Command.Reply))});
+    To.Waiting.push_back({std::move(Encoded), Wire::encodeFrame(Short)});
     sendWaiting(Command.Origin, To, isStalled(To));
     scheduleReplyCheck();
   }
@@ -302,10 +302,10 @@
   // is given up.
   void sendWaiting(OriginId Origin, InboundConnection &To, bool GivenUp) {
     while (!To.Waiting.empty()) {
-      const WaitingReply &Next = To.Waiting.front();
+      WaitingReply &Next = To.Waiting.front();
       const std::size_t Bytes = Next.Encoded.size();
       if (mayQueue(To, Bytes))
-        To.Socket->send(Next.Encoded);
+        To.Socket->sendOwned(std::move(Next.Encoded));
       else if (GivenUp)
         replaceReply(Origin, To, Bytes, Next.Short);
       else
--- a/Source/Core/Wire/Codec.cpp
+++ b/Source/Core/Wire/Codec.cpp
@@ -55,7 +55,7 @@
   return Result;
 }
 
-Generated::Frame toWire(const Routing::CallReply &From) {
+Generated::Frame toWire(Routing::CallReply From) {
   // Filled in place, since the setters copy, and bodies may be large.
   Generated::Frame Result;
   Result.__isset.Reply = true;
@@ -63,8 +63,8 @@
   Part.CallId = From.Attempt;
   Part.Result = Common::resultCodeNumber(From.Result);
   Part.HttpStatus = From.HttpStatus;
-  Part.Body = From.Body;
-  Part.Headers = From.Fields;
+  Part.Body = std::move(From.Body);
+  Part.Headers = std::move(From.Fields);
   Part.Queued = From.Load.Queued;
   Part.BusySlots = From.Load.BusySlots;
   Part.Slots = From.Load.Slots;
@@ -179,9 +179,9 @@
 
 } // namespace
 
-std::string encodeFrame(const Frame &Content) {
-  return std::visit([](const auto &Part) { return packCompact(toWire(Part)); },
-                    Content);
+std::string encodeFrame(Frame Content) {
+  return std::visit(
+      [](auto &Part) { return packCompact(toWire(std::move(Part))); }, Content);
 }
 
 Frame decodeFrame(std::string_view Bytes) {
--- a/Source/Core/Wire/Codec.h
+++ b/Source/Core/Wire/Codec.h
@@ -8,7 +8,7 @@
 
 namespace Wire {
 
-std::string encodeFrame(const Frame &Content);
+std::string encodeFrame(Frame Content);
 // Throws FrameMalformed if Bytes cannot be decoded.
 Frame decodeFrame(std::string_view Bytes);
 
--- a/Source/Core/Wire/FrameSocket.cpp
+++ b/Source/Core/Wire/FrameSocket.cpp
@@ -100,12 +100,16 @@
 }
 
 void FrameSocket::send(std::string_view Content) {
+  sendOwned(std::string(Content));
+}
+
+void FrameSocket::sendOwned(std::string Content) {
   std::string Length;
   for (int Shift = 24; Shift >= 0; Shift -= 8)
     Length.push_back(static_cast<char>(Content.size() >> Shift & 0xff));
   const std::size_t Before = Self->Stream->unsentBytes();
   Self->Stream->write(Length);
-  Self->Stream->write(Content);
+  Self->Stream->writeOwned(std::move(Content));
   Self->QueuedBytes += Self->Stream->unsentBytes() - Before;
 }
 
--- a/Source/Core/Wire/FrameSocket.h
+++ b/Source/Core/Wire/FrameSocket.h
@@ -41,6 +41,8 @@
 
   // Queues frames until the connection is established.
   void send(std::string_view Content);
+  // Takes a large frame over instead of copying it.
+  void sendOwned(std::string Content);
   // Sends the remaining frames and then shuts the connection down in order.
   // Frames that are received later are discarded.
   void closeGracefully();
