Bound what callers of the admin socket may hold

Cause: that listener alone was not an EdgeServer. libmicrohttpd limits the memory of one connection, but neither their number nor the bodies, which our own code kept. It is one now, with 3 percent of the memory and 64 connections; the control listener, which had more than it needs, gives 2 of them.

The check is stricter: the crowds at a sidecar also need an answer of the operators' listener afterwards.

--- a/Source/Core/Node/AdminService.h
+++ b/Source/Core/Node/AdminService.h
@@ -9,8 +9,10 @@
 #include <spdlog/spdlog.h>
 
 #include "Common/IniDocument.h"
-#include "Http/Server.h"
+#include "Http/EdgeServer.h"
+#include "Http/Escaping.h"
 #include "Kernel/Host.h"
+#include "Node/MemoryShares.h"
 #include "Node/Messages.h"
 #include "Node/NodeSettings.h"
 
@@ -39,9 +41,10 @@
   void start() {
     Targets = FindSinks();
     Listener =
-        Http::ServerBuilder(Task)
+        Http::EdgeServerBuilder(Task)
             .address(Settings.Address)
             .port(Settings.AdminPort)
+            .capacity(serviceCapacity(Settings, AdminPercent))
             .onRequest([this](Http::ExchangeId Id, Http::Request Request) {
               handleRequest(Id, Request);
             })
@@ -96,7 +99,8 @@
       return announce(Request.Body);
     if (Request.Method == "DELETE" &&
         Request.Path.rfind("/v1/servers/", 0) == 0)
-      return withdraw(Request.Path.substr(sizeof("/v1/servers/") - 1));
+      return withdraw(
+          Http::unescapeUrl(Request.Path.substr(sizeof("/v1/servers/") - 1)));
     return {404, {}, "no such page\n"};
   }
 
@@ -178,7 +182,7 @@
   NodeSettings Settings;
   std::function<Sinks()> FindSinks;
   Sinks Targets;
-  std::unique_ptr<Http::Server> Listener;
+  std::unique_ptr<Http::EdgeServer> Listener;
   Config::Version InForce = 0;
   Common::WallTime InForceSince;
   Routing::ServerViewPtr Servers;
--- a/Source/Core/Node/MemoryShares.h
+++ b/Source/Core/Node/MemoryShares.h
@@ -28,8 +28,13 @@
 // The part of it that a single peer may take up.
 constexpr std::size_t PeerReplyPercent = 12;
 // For the calls of the backend server to its own node.
-constexpr std::size_t ControlPercent = 6;
+constexpr std::size_t ControlPercent = 4;
 constexpr std::size_t ReadyPercent = 2;
+// For operators.
+constexpr std::size_t AdminPercent = 3;
+// How many connections each listener takes that isn't for callers. The
+// platform, the backend server and operators use a few at a time.
+constexpr std::size_t ServiceConnections = 64;
 // The rest is for peers, for the backend server and for files.
 constexpr std::size_t CallerDescriptorPercent = 75;
 
@@ -37,6 +42,12 @@
   return Whole * Percent / 100;
 }
 
+// Of a listener that isn't for callers.
+inline Http::EdgeCapacity serviceCapacity(const NodeSettings &Settings,
+                                          std::size_t MemoryPercent) {
+  return {percentOf(Settings.MemoryLimit, MemoryPercent), ServiceConnections};
+}
+
 inline Http::EdgeCapacity callerCapacity(const NodeSettings &Settings) {
   return {percentOf(Settings.MemoryLimit, CallerPercent),
           std::max<std::size_t>(
--- a/Tools/scenarios/crowd.py
+++ b/Tools/scenarios/crowd.py
@@ -241,23 +241,26 @@
     parser.add_argument("--address", required=True, type=host_port)
     parser.add_argument("--path", required=True)
     parser.add_argument("--body", type=int, default=BODY_BYTES)
-    parser.add_argument("--ordinary", required=True, help="IP:port/path=status")
+    parser.add_argument(
+        "--ordinary", required=True, nargs="+", help="IP:port/path=status"
+    )
     parser.add_argument("--pid", required=True, type=int, nargs="+")
     parser.add_argument("--memory-mb", required=True, type=int)
     parser.add_argument("--descriptors", required=True, type=int)
     options = parser.parse_args()
 
-    place, wanted = options.ordinary.split("=")
-    target, path = place.split("/", 1)
     at_rest = [peak_kb(pid) for pid in options.pid]
     clients = play_kind(options.kind, options.address, options.path, options.body)
     failures = []
     fds = []
     try:
         fds = [descriptors(pid) for pid in options.pid]
-        status = ordinary(host_port(target), "/" + path, wanted)
-        if status != wanted:
-            failures.append(f"an ordinary request got {status}, not {wanted}")
+        for request in options.ordinary:
+            place, wanted = request.split("=")
+            target, path = place.split("/", 1)
+            status = ordinary(host_port(target), "/" + path, wanted)
+            if status != wanted:
+                failures.append(f"{place} was answered {status}, not {wanted}")
     except OSError as error:
         failures.append(f"a process has ended: {error}")
     peaks = [peak_kb(pid) for pid in options.pid]
--- a/Tools/scenarios/crowd.sh
+++ b/Tools/scenarios/crowd.sh
@@ -50,7 +50,8 @@
   Pids+=($!)
   NodePids=($!)
   # No configuration is in force, so the readiness check answers 503.
-  Ordinary=127.0.0.1:${Ports[3]}/v1/readyz=503
+  Ordinary=("127.0.0.1:${Ports[3]}/v1/readyz=503"
+    "127.0.0.1:${Ports[5]}/v1/status=200")
   wait_until 20 curl -s "http://127.0.0.1:${Ports[3]}/v1/readyz"
 }
 
@@ -72,7 +73,7 @@
   "$Bin/zinniactl" --log "http://127.0.0.1:$LogPort" --author crowd \
     publish Data/Ashcombe/set >/dev/null
   Crowd=("127.0.0.1:${Ports[0]}" --path /prices/crowd)
-  Ordinary=127.0.0.1:${Ports[0]}/prices/base-set=200
+  Ordinary=("127.0.0.1:${Ports[0]}/prices/base-set=200")
   wait_until 20 curl -sf "http://127.0.0.1:${Ports[0]}/prices/base-set"
 }
 
@@ -94,5 +95,5 @@
 esac
 
 python3 Tools/scenarios/crowd.py "$Kind" --address "${Crowd[@]}" \
-  --ordinary "$Ordinary" --pid "${NodePids[@]}" --memory-mb "$MemoryMb" \
+  --ordinary "${Ordinary[@]}" --pid "${NodePids[@]}" --memory-mb "$MemoryMb" \
   --descriptors "$Descriptors"
