Bound memory and descriptors by what the process can use

A settings file that states no memory or descriptors, such as deploy/sidecar.ini without the platform's variables, left the defaults of 512 MB and 65,536 descriptors in force on any machine. A process that may open 256 descriptors gave all of them to a crowd of 1,500 connections, and an ordinary request waited until their heads timed out (Crowd-unstated-connections on: 256 open, 65 s in all).

The settings now count for at most what the process can use: the memory of the machine, of its control groups or its resource limits, and its descriptors. The defaults stay, so nothing changes where the machine has more.

No run with a control group of 110 MB was made.

--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "Common/Error.h"
+#include "Common/MachineLimits.h"
 
 namespace Node {
 
@@ -110,11 +111,12 @@
       {"node", "address", SettingType::Text, {}, 0, 0, "IP address of the VM"},
       {"node", "memory-limit", SettingType::Text, "512", 0, 0,
        "memory of the machine in MB; what callers and peers may take of it is "
-       "bounded by shares of it"},
+       "bounded by shares of it; what the process can use counts if it is "
+       "less"},
       {"node", "descriptor-limit", SettingType::Integer, "65536", 16,
        10'000'000,
        "descriptors that the process may have open; three quarters of them are "
-       "for connections of callers"},
+       "for connections of callers; its resource limit counts if it is less"},
       {"calls", "port", SettingType::Integer, "0", 0, MaxPort,
        "HTTP port for callers; 0 selects a free port"},
       {"calls", "body-limit", SettingType::Integer, "1048576", 1024, 8 << 20,
@@ -220,9 +222,13 @@
   Result.Address = From.text("node", "address");
   Result.CallAddress = Result.Address;
   Result.CallPort = static_cast<int>(From.integer("calls", "port"));
-  Result.MemoryLimit = parseMegabytes(From.text("node", "memory-limit"));
-  Result.DescriptorLimit =
-      static_cast<std::size_t>(From.integer("node", "descriptor-limit"));
+  // The file may state more than there is, or nothing.
+  Result.MemoryLimit =
+      std::min(parseMegabytes(From.text("node", "memory-limit")),
+               Common::usableMemory());
+  Result.DescriptorLimit = std::min(
+      static_cast<std::size_t>(From.integer("node", "descriptor-limit")),
+      Common::usableDescriptors());
   Result.BodyLimit =
       static_cast<std::size_t>(From.integer("calls", "body-limit"));
   Result.OpenCallLimit =
--- a/Tools/cluster.sh
+++ b/Tools/cluster.sh
@@ -78,6 +78,7 @@
 #   CallSettings     additional lines of the section [calls]
 #   NodeSettings     additional lines of the section [node]
 #   ExtraSettings    additional sections
+#   NodeLimits       options of ulimit for the process
 start_node() { # NAME DATA-CENTRE CALL PEER MEMBER ADMIN SEEDS LOG-PORT CONTROL
   cat >"$Run/$1.ini" <<S
 [node]
@@ -105,7 +106,10 @@
 ${LogSettings:-}
 ${ExtraSettings:-}
 S
-  "$Bin/zinnia-node" --settings "$Run/$1.ini" 2>"$Run/$1.log" &
+  (
+    [ -z "${NodeLimits[*]:-}" ] || ulimit -S "${NodeLimits[@]}"
+    exec "$Bin/zinnia-node" --settings "$Run/$1.ini" 2>"$Run/$1.log"
+  ) &
   Pids+=($!)
   NodePid=$!
 }
--- a/Tools/scenarios/crowd.py
+++ b/Tools/scenarios/crowd.py
@@ -131,7 +131,7 @@
         return 160, False, asking_for(path, ANSWER_BYTES)
     if kind == "remote-answers":
         return 160, False, asking_for(path, REMOTE_ANSWER_BYTES)
-    if kind == "connections":
+    if kind in ("connections", "unstated-connections"):
         return 1500, False, [b"POST " + path.encode()]
     raise SystemExit("unknown kind " + kind)
 
--- a/Tools/scenarios/crowd.sh
+++ b/Tools/scenarios/crowd.sh
@@ -14,7 +14,8 @@
 # far below those of real machines, so that a small crowd shows the fault.
 MemoryMb=${2:-128}
 Descriptors=1024
-ulimit -n 4096
+ulimit -S -n 4096
+NodeSettings="memory-limit = $MemoryMb"$'\n'"descriptor-limit = $Descriptors"
 
 read -ra Ports <<<"$(free_ports 12)"
 LogPort=${Ports[6]}
@@ -57,7 +58,6 @@
 
 # A node with the backend server beside it, or beside a second node.
 start_mesh() { # REMOTE
-  NodeSettings="memory-limit = $MemoryMb"$'\n'"descriptor-limit = $Descriptors"
   CallSettings='body-limit = 8388608'
   start_node n0 leicester "${Ports[0]}" "${Ports[1]}" "${Ports[2]}" \
     "${Ports[3]}" "127.0.0.1:${Ports[2]}" "$LogPort" "${Ports[5]}"
@@ -91,6 +91,13 @@
   Crowd=("127.0.0.1:${Ports[5]}" --path /v1/servers)
   ;;
 remote-*) start_mesh yes ;;
+unstated-connections)
+  # The process may open fewer descriptors than the settings say. It has to keep
+  # some of them for what it opens itself.
+  NodeLimits=(-n 256)
+  Descriptors=255
+  start_mesh no
+  ;;
 *) start_mesh no ;;
 esac
 
