Take no status outside of HTTP for an answer

A backend server in trouble answered with status 000. Its caller waited for the deadline and got 504 there, for a safe request without a second attempt; 600 and 999 reached callers as answers with the server's signature.

Cause: Beast parses any three digits. The client took every status below 200 for an interim response and skipped it, and every other one for a final response. A status outside of 100 to 599, and 101, which no request asks for, makes a response malformed now: the request has no answer, may have run, and ends or is tried again at once as after any other malformed response.

--- a/Source/Core/Http/KeepAliveClient.cpp
+++ b/Source/Core/Http/KeepAliveClient.cpp
@@ -33,6 +33,7 @@
 // seconds.
 constexpr int IdleTimeoutPercent = 60;
 constexpr Common::Millis SweepInterval{500};
+constexpr int SwitchingProtocols = 101;
 
 enum class Progress { NeedMore, Done, Malformed };
 
@@ -139,6 +140,9 @@
     KeepAlive = CurrentParser->keep_alive() && !CurrentParser->need_eof();
     auto Message = CurrentParser->release();
     Parsed.Status = static_cast<int>(Message.result_int());
+    // No request asks for another protocol.
+    if (!isStatus(Parsed.Status) || Parsed.Status == SwitchingProtocols)
+      return malformed("status " + std::to_string(Parsed.Status));
     Parsed.Fields = toHeaders(Message);
     Parsed.Body = std::move(Message.body().Text);
     return Progress::Done;
@@ -150,8 +154,7 @@
   }
 
   bool matchesRequest() const {
-    constexpr int LastInformationalStatus = 199;
-    if (Parsed.Status <= LastInformationalStatus)
+    if (!isFinalStatus(Parsed.Status))
       return false;
     if (ExpectedEcho.empty())
       return true;
--- a/Source/Core/Http/Message.h
+++ b/Source/Core/Http/Message.h
@@ -19,6 +19,15 @@
   std::string Caller;
 };
 
+// Whether the status is in one of the five classes of HTTP.
+constexpr bool isStatus(int Status) { return Status >= 100 && Status <= 599; }
+
+// Whether a response with the status ends its request.
+constexpr bool isFinalStatus(int Status) {
+  constexpr int FirstFinalStatus = 200;
+  return isStatus(Status) && Status >= FirstFinalStatus;
+}
+
 struct Response {
   int Status = 200;
   Headers Fields;
--- a/Source/Core/Node/CallResponse.cpp
+++ b/Source/Core/Node/CallResponse.cpp
@@ -89,6 +89,11 @@
 
 Http::Response toResponse(Routing::CallReply Reply, int Attempts,
                           const std::string &CorrelationId) {
+  if (Reply.Result == ResultCode::Ok &&
+      !Http::isFinalStatus(Reply.HttpStatus)) {
+    Reply.Result = ResultCode::OutcomeUnknown;
+    Reply.Fields.clear();
+  }
   Http::Response Result;
   Result.Fields = std::move(Reply.Fields);
   removeConnectionFields(Result.Fields);
--- a/Source/UnitTests/Http/KeepAliveClientTests.cpp
+++ b/Source/UnitTests/Http/KeepAliveClientTests.cpp
@@ -218,6 +218,28 @@
   }
 }
 
+// A server in trouble answered with status 000. It was taken for an interim
+// response, so that its caller waited for the deadline; 600 reached the caller.
+BOOST_FIXTURE_TEST_CASE(FailsAtOnceOnAStatusOutsideOfHttp, Fixture) {
+  const std::vector<std::string> Lines = {
+      "HTTP/1.1 000 Unknown", "HTTP/1.0 000 Unknown", "HTTP/1.1 000",
+      "HTTP/1.1 001 Unknown", "HTTP/1.1 099 Unknown", "HTTP/1.1 600 Unknown",
+      "HTTP/1.1 999 Unknown", "HTTP/1.1 20 OK",       "HTTP/1.1 2000 OK",
+      "HTTP/1.1 abc OK",      "HTTP/1.1 -01 OK",      "HTTP/3.1 200 OK"};
+  OnRequest = [&](int Number, Net::ByteStream &Peer) {
+    const std::string Id = std::to_string(Number);
+    Peer.write(Lines.at(Number - 1) + "\r\nX-Id: " + Id +
+               "\r\nContent-Length: 2\r\n\r\nok");
+  };
+  for (std::size_t Number = 1; Number <= Lines.size(); ++Number) {
+    send(std::to_string(Number), Millis(60'000));
+    const Http::ClientResult &Result = result(Number);
+    BOOST_TEST(!Result.Answered, Lines[Number - 1]);
+    BOOST_TEST(Result.MayHaveRun, Lines[Number - 1]);
+    BOOST_TEST(Result.Failure.find("malformed") != std::string::npos);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(FailsOnATruncatedOrMalformedResponse, Fixture) {
   OnRequest = [](int Number, Net::ByteStream &Peer) {
     if (Number == 1) {
--- a/Source/UnitTests/Node/CallResponseTests.cpp
+++ b/Source/UnitTests/Node/CallResponseTests.cpp
@@ -29,6 +29,21 @@
   BOOST_TEST(Node::toResponse(Reply, 1, "").Status == 404);
 }
 
+// A node of another version may pass such a status on.
+BOOST_AUTO_TEST_CASE(ReplacesAStatusOutsideOfHttp) {
+  for (const int Status : {0, 1, 99, 101, 199, 600, 999}) {
+    Routing::CallReply Reply;
+    Reply.HttpStatus = Status;
+    Reply.Body = "of the server";
+    Reply.Fields["x-origin"] = "server";
+    const Http::Response Response = Node::toResponse(Reply, 1, "");
+    BOOST_TEST(Response.Status == 504);
+    BOOST_TEST(Response.Fields.at("x-zinnia-result") == "200");
+    BOOST_TEST(!Response.Fields.contains("x-origin"));
+    BOOST_TEST(Response.Body != "of the server");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ReadsTheLimitsOfTheCaller) {
   Http::Request Request;
   Request.Fields = {{"x-deadline-ms", "250"},
