--- a/Tools/scenarios/crowd.sh
+++ b/Tools/scenarios/crowd.sh
@@ -72,25 +72,51 @@
   start_backend server-0 price-catalogue "${Ports[4]}" 6 "$Admin" 2ms
   "$Bin/zinniactl" --log "http://127.0.0.1:$LogPort" --author crowd \
     publish Data/Ashcombe/set >/dev/null
-  Crowd=("127.0.0.1:${Ports[0]}" --path /prices/crowd)
+  Crowd=("127.0.0.1:${Ports[0]}" /prices/crowd)
   Ordinary=("127.0.0.1:${Ports[0]}/prices/base-set=200")
   wait_until 20 curl -sf "http://127.0.0.1:${Ports[0]}/prices/base-set"
 }
 
+# Plays one kind of crowd and checks all processes.
+play() { # KIND ADDRESS PATH
+  python3 Tools/scenarios/crowd.py "$1" --address "$2" --path "$3" \
+    --ordinary "${Ordinary[@]}" --pid "${NodePids[@]}" \
+    --memory-mb "$MemoryMb" --descriptors "$Descriptors"
+}
+
+# Several crowds at once, at a node and at the one beside the server.
+play_mixed() {
+  local Pids=() Pid Failed=0
+  play medium-chunks "127.0.0.1:${Ports[0]}" /prices/a & Pids+=($!)
+  play remote-bodies "127.0.0.1:${Ports[0]}" /prices/a & Pids+=($!)
+  play remote-answers "127.0.0.1:${Ports[0]}" /prices/a & Pids+=($!)
+  play byte-chunks "127.0.0.1:${Ports[7]}" /prices/a & Pids+=($!)
+  play unread-answers "127.0.0.1:${Ports[7]}" /prices/a & Pids+=($!)
+  play admin-bodies "127.0.0.1:${Ports[10]}" /v1/servers & Pids+=($!)
+  for Pid in "${Pids[@]}"; do wait "$Pid" || Failed=1; done
+  return $Failed
+}
+
 case "$Kind" in
 control-bodies)
   start_sidecar
-  Crowd=("127.0.0.1:${Ports[4]}" --path '/v1/rpc?call=instances.heartbeat&of=a')
+  Crowd=("127.0.0.1:${Ports[4]}" '/v1/rpc?call=instances.heartbeat&of=a')
   ;;
 ready-bodies)
   start_sidecar
-  Crowd=("127.0.0.1:${Ports[3]}" --path /v1/readyz)
+  Crowd=("127.0.0.1:${Ports[3]}" /v1/readyz)
   ;;
 admin-*)
   start_sidecar
-  Crowd=("127.0.0.1:${Ports[5]}" --path /v1/servers)
+  Crowd=("127.0.0.1:${Ports[5]}" /v1/servers)
   ;;
 remote-*) start_mesh yes ;;
+mixed)
+  # The crowds together open more connections than each of them.
+  Descriptors=2048
+  NodeSettings="memory-limit = $MemoryMb"$'\n'"descriptor-limit = $Descriptors"
+  start_mesh yes
+  ;;
 unstated-connections)
   # The process may open fewer descriptors than the settings say. It has to keep
   # some of them for what it opens itself.
@@ -101,6 +127,8 @@
 *) start_mesh no ;;
 esac
 
-python3 Tools/scenarios/crowd.py "$Kind" --address "${Crowd[@]}" \
-  --ordinary "${Ordinary[@]}" --pid "${NodePids[@]}" --memory-mb "$MemoryMb" \
-  --descriptors "$Descriptors"
+if [ "$Kind" = mixed ]; then
+  play_mixed
+else
+  play "$Kind" "${Crowd[@]}"
+fi
