Lint every file where clang++ is not installed

Tools/lint.sh names a file that was clean before by a key of its text and headers, which it took from clang++. Debian's clang-tidy brings no clang++, so the list was empty, all files had the same key, and one clean file stood for all 218. It asks g++, which the build needs in any case, and fails if there is no list.

Over all files it found one place: EdgeServer::respond used a response in a loop after it was moved, which the unique id of an exchange made harmless.

--- a/Source/Core/Common/MachineLimits.cpp
+++ b/Source/Core/Common/MachineLimits.cpp
@@ -18,10 +18,9 @@
 }
 
 // The soft limit on a resource, or Otherwise if there is none.
-std::size_t resourceLimit(int Resource, std::size_t Otherwise) {
+std::size_t resourceLimit(__rlimit_resource Resource, std::size_t Otherwise) {
   rlimit Limit = {};
-  if (::getrlimit(static_cast<__rlimit_resource>(Resource), &Limit) != 0 ||
-      Limit.rlim_cur == RLIM_INFINITY)
+  if (::getrlimit(Resource, &Limit) != 0 || Limit.rlim_cur == RLIM_INFINITY)
     return Otherwise;
   return std::min<std::size_t>(Limit.rlim_cur, Otherwise);
 }
--- a/Source/Core/Http/BoundedBody.h
+++ b/Source/Core/Http/BoundedBody.h
@@ -13,8 +13,7 @@
 
 // A string body for Boost.Beast parsers. Parsing fails as soon as the announced
 // or the received length exceeds Limit. Beast's own string body isn't used
-// because it reserves memory for the announced length before it checks a limit
-// of ours.
+// because it reserves memory for the announced length before it checks Limit.
 // Beast prescribes the names of the nested types.
 struct BoundedBody {
   // NOLINTNEXTLINE(readability-identifier-naming)
--- a/Source/Core/Http/EdgeServer.cpp
+++ b/Source/Core/Http/EdgeServer.cpp
@@ -1,5 +1,6 @@
 #include "Http/EdgeServer.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -289,11 +290,13 @@
     return;
   const Impl::ConnectionId ConnectionKey = Entry.mapped();
   Connection &Peer = Self->Connections.at(ConnectionKey);
-  for (OpenExchange &Exchange : Peer.Open)
-    if (Exchange.Id == Id) {
-      Exchange.HeldBytes = Reply.Body.size();
-      Exchange.Ready = std::move(Reply);
-    }
+  const auto Exchange =
+      std::find_if(Peer.Open.begin(), Peer.Open.end(),
+                   [Id](const OpenExchange &Open) { return Open.Id == Id; });
+  if (Exchange != Peer.Open.end()) {
+    Exchange->HeldBytes = Reply.Body.size();
+    Exchange->Ready = std::move(Reply);
+  }
   Self->sendReady(ConnectionKey, Peer);
 }
 
--- a/Tools/lint.sh
+++ b/Tools/lint.sh
@@ -16,9 +16,15 @@
 lint_one() {
   local File=$1 Key Dependencies
   # The file and the project's headers that it includes directly or indirectly.
-  Dependencies=$(clang++ -std=c++20 -MM -MG -ISource/Core -ISource -Iplatform \
-    -ISource/Core/Wire/Generated -DZINNIA_VERSION='""' "$File" 2>/dev/null |
+  Dependencies=$(g++ -std=c++20 -MM -MG -ISource/Core -ISource -Iplatform \
+    -ISource/Core/Wire/Generated -DZINNIA_VERSION='""' "$File" |
     tr -d '\\\n' | tr ' ' '\n' | grep -E '^(Source|platform)/' | sort -u)
+  # Without them all files would have the same key, and one clean file would
+  # stand for all.
+  if [ -z "$Dependencies" ]; then
+    echo "lint: no dependencies found for $File" >&2
+    return 1
+  fi
   Key=$(cat .clang-tidy $Dependencies | sha256sum | cut -c1-32)
   [ -e "$Cache/$Key" ] && return 0
   if clang-tidy -p "$Build" --quiet "$File" 2>/dev/null; then
