Send with less work for small messages

The queue keeps a last block of up to 2 KiB for the next message, the list of parts is on the stack, a single block goes out with send(), and a frame is not copied before it is queued.

--- a/Source/Core/Net/ByteStream.cpp
+++ b/Source/Core/Net/ByteStream.cpp
@@ -178,12 +178,16 @@
 // broken.
 bool ByteStream::Impl::sendOutgoing() {
   while (!Outgoing.empty()) {
-    std::vector<iovec> Parts = Outgoing.front();
+    SendQueue::Parts Room;
+    const std::span<iovec> Parts = Outgoing.front(Room);
     msghdr Message = {};
     Message.msg_iov = Parts.data();
     Message.msg_iovlen = Parts.size();
     const ssize_t Count =
-        ::sendmsg(Stream.get_handle(), &Message, MSG_NOSIGNAL);
+        Parts.size() == 1
+            ? ::send(Stream.get_handle(), Parts[0].iov_base, Parts[0].iov_len,
+                     MSG_NOSIGNAL)
+            : ::sendmsg(Stream.get_handle(), &Message, MSG_NOSIGNAL);
     if (Count < 0)
       return wouldBlock();
     Outgoing.remove(static_cast<std::size_t>(Count));
--- a/Source/Core/Net/SendQueue.cpp
+++ b/Source/Core/Net/SendQueue.cpp
@@ -12,11 +12,16 @@
 // The size of the blocks into which bytes are copied, and above which bytes
 // that are handed over get a block of their own.
 constexpr std::size_t BlockBytes = 64 << 10;
-constexpr std::size_t MaxBlocksPerCall = 16;
+// The size up to which the last block stays for the next message.
+constexpr std::size_t KeptBytes = 2 << 10;
 
 } // namespace
 
 void SendQueue::appendBlock(std::string Block) {
+  if (empty()) {
+    Blocks.clear();
+    Allocated = 0;
+  }
   Unsent += Block.size();
   Allocated += Common::allocatedBytes(Block);
   Blocks.push_back(std::move(Block));
@@ -41,24 +46,25 @@
 }
 
 void SendQueue::appendOwned(std::string Bytes) {
-  if (Bytes.size() > BlockBytes || (Blocks.empty() && !Bytes.empty()))
+  const bool FitsKept =
+      !Blocks.empty() && Bytes.size() <= Blocks.front().capacity();
+  if (Bytes.size() > BlockBytes || (empty() && !FitsKept && !Bytes.empty()))
     appendBlock(std::move(Bytes));
   else
     append(Bytes);
 }
 
-std::vector<iovec> SendQueue::front() const {
-  std::vector<iovec> Result;
+std::span<iovec> SendQueue::front(Parts &Room) const {
+  const std::size_t Count = std::min(Blocks.size(), Room.size());
   std::size_t Skipped = SentOfFirst;
-  for (const std::string &Block : Blocks) {
-    if (Result.size() == MaxBlocksPerCall)
-      break;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    const std::string &Block = Blocks[Index];
     // The type of the system call isn't const, but it doesn't write there.
-    Result.push_back(
-        {const_cast<char *>(Block.data()) + Skipped, Block.size() - Skipped});
+    Room[Index] = {const_cast<char *>(Block.data()) + Skipped,
+                   Block.size() - Skipped};
     Skipped = 0;
   }
-  return Result;
+  return std::span(Room).first(Count);
 }
 
 void SendQueue::remove(std::size_t Count) {
@@ -72,6 +78,10 @@
     }
     Count -= Left;
     SentOfFirst = 0;
+    if (Blocks.size() == 1 && Blocks.front().capacity() <= KeptBytes) {
+      Blocks.front().clear();
+      return;
+    }
     Allocated -= Common::allocatedBytes(Blocks.front());
     Blocks.pop_front();
   }
--- a/Source/Core/Net/SendQueue.h
+++ b/Source/Core/Net/SendQueue.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <deque>
+#include <span>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include <sys/uio.h>
 
@@ -17,14 +18,18 @@
   void append(std::string_view Bytes);
   // Takes the bytes over instead of copying them, unless a few follow others.
   void appendOwned(std::string Bytes);
-  // The first bytes, for one system call.
-  std::vector<iovec> front() const;
+  static constexpr std::size_t MaxPartsPerCall = 16;
+  using Parts = std::array<iovec, MaxPartsPerCall>;
+
+  // The first bytes, for one system call: the parts of Room that are filled.
+  std::span<iovec> front(Parts &Room) const;
   // Removes the first Count bytes, which have been sent.
   void remove(std::size_t Count);
 
   bool empty() const { return Unsent == 0; }
   std::size_t size() const { return Unsent; }
-  std::size_t allocatedBytes() const { return Allocated; }
+  // The memory of the unsent bytes.
+  std::size_t allocatedBytes() const { return Unsent == 0 ? 0 : Allocated; }
 
 private:
   void appendBlock(std::string Block);
--- a/Source/Core/Wire/FrameSocket.cpp
+++ b/Source/Core/Wire/FrameSocket.cpp
@@ -10,6 +10,13 @@
 // Room for received bytes that a connection keeps between frames.
 constexpr std::size_t MaxKeptBytes = 256 << 10;
 
+std::string encodeLength(std::size_t Bytes) {
+  std::string Result;
+  for (int Shift = 24; Shift >= 0; Shift -= 8)
+    Result.push_back(static_cast<char>(Bytes >> Shift & 0xff));
+  return Result;
+}
+
 } // namespace
 
 struct FrameSocket::Impl {
@@ -100,15 +107,15 @@
 }
 
 void FrameSocket::send(std::string_view Content) {
-  sendOwned(std::string(Content));
+  const std::size_t Before = Self->Stream->unsentBytes();
+  Self->Stream->write(encodeLength(Content.size()));
+  Self->Stream->write(Content);
+  Self->QueuedBytes += Self->Stream->unsentBytes() - Before;
 }
 
 void FrameSocket::sendOwned(std::string Content) {
-  std::string Length;
-  for (int Shift = 24; Shift >= 0; Shift -= 8)
-    Length.push_back(static_cast<char>(Content.size() >> Shift & 0xff));
   const std::size_t Before = Self->Stream->unsentBytes();
-  Self->Stream->write(Length);
+  Self->Stream->write(encodeLength(Content.size()));
   Self->Stream->writeOwned(std::move(Content));
   Self->QueuedBytes += Self->Stream->unsentBytes() - Before;
 }
--- a/Source/UnitTests/Net/SendQueueTests.cpp
+++ b/Source/UnitTests/Net/SendQueueTests.cpp
@@ -14,7 +14,8 @@
 std::string drain(Net::SendQueue &Queue, std::size_t Step) {
   std::string Result;
   while (!Queue.empty()) {
-    const iovec First = Queue.front().front();
+    Net::SendQueue::Parts Room;
+    const iovec First = Queue.front(Room).front();
     const std::size_t Count = std::min(Step, First.iov_len);
     Result.append(static_cast<const char *>(First.iov_base), Count);
     Queue.remove(Count);
@@ -45,12 +46,27 @@
   BOOST_TEST(Queue.allocatedBytes() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(SendsMessagesOfAllSizesOneAfterTheOther) {
+  Net::SendQueue Queue;
+  for (const std::size_t Size :
+       {10U, 3000U, 10U, 70'000U, 1U, 300'000U, 2000U}) {
+    const std::string Head(Size % 7 + 1, 'h');
+    const std::string Body(Size, 'b');
+    Queue.appendOwned(Head);
+    Queue.appendOwned(Body);
+    BOOST_TEST(Queue.size() == Head.size() + Body.size());
+    BOOST_TEST((drain(Queue, 1 << 20) == Head + Body));
+    BOOST_TEST(Queue.allocatedBytes() == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RemovesAcrossBlocks) {
   const std::string Long = numbers(60'000);
   Net::SendQueue Queue;
   Queue.append(Long);
   std::size_t InOneCall = 0;
-  for (const iovec &Part : Queue.front())
+  Net::SendQueue::Parts Room;
+  for (const iovec &Part : Queue.front(Room))
     InOneCall += Part.iov_len;
   const std::size_t Sent = InOneCall - 1;
   Queue.remove(Sent);
