End a response at once at bytes that begin none

Cause: an interim response has no body, so the next bytes have to begin a response. The parser looks at a start line only once it is whole, and a short body never makes one. What cannot become "HTTP/1." is malformed now; EmbeddedResponse, which looks for such beginnings inside bodies, shares its comparison.

The parser takes a start line before the fields have arrived, so the check ends with its first byte taken. A first attempt without this refused responses whose header section arrived in pieces; no test noticed. AcceptsResponsesInPieces cuts a response at each byte and failed with that attempt.

--- a/Source/Core/Http/EmbeddedResponse.cpp
+++ b/Source/Core/Http/EmbeddedResponse.cpp
@@ -49,6 +49,11 @@
 
 } // namespace
 
+bool mayBeginResponse(std::string_view Text) {
+  const std::size_t Compared = std::min(Text.size(), Protocol.size());
+  return Text.substr(0, Compared) == Protocol.substr(0, Compared);
+}
+
 bool containsResponse(std::string_view Body, std::string_view Following,
                       const EchoMark &Mark, std::size_t MaxHeaderBytes) {
   int Candidates = 0;
@@ -56,8 +61,7 @@
        Begin != std::string_view::npos && Candidates < MaxCandidates;
        Begin = Body.find(Protocol.front(), Begin + 1)) {
     const std::string_view InBody = Body.substr(Begin, MaxHeaderBytes);
-    const std::size_t Compared = std::min(InBody.size(), Protocol.size());
-    if (InBody.substr(0, Compared) != Protocol.substr(0, Compared))
+    if (!mayBeginResponse(InBody))
       continue;
     std::string Header(InBody);
     Header.append(Following.substr(0, MaxHeaderBytes - InBody.size()));
--- a/Source/Core/Http/EmbeddedResponse.h
+++ b/Source/Core/Http/EmbeddedResponse.h
@@ -14,6 +14,9 @@
   std::vector<std::string> Values;
 };
 
+// Whether Text is the beginning of a response, as far as it goes.
+bool mayBeginResponse(std::string_view Text);
+
 // Whether the header section of another response begins inside Body. Following
 // holds the bytes that arrived after the body. A header section counts if it is
 // marked within its first MaxHeaderBytes.
--- a/Source/Core/Http/KeepAliveClient.cpp
+++ b/Source/Core/Http/KeepAliveClient.cpp
@@ -78,6 +78,7 @@
 private:
   void resetParser() {
     CurrentParser = std::make_unique<Parser>();
+    HasBegunHead = false;
     CurrentParser->eager(true);
     CurrentParser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
     CurrentParser->body_limit(Limits.BodyBytes);
@@ -106,6 +107,9 @@
 
   Progress parseOne(bool AtEof) {
     Started = Started || !Incoming.empty();
+    // The parser looks at a start line only once it is whole.
+    if (!HasBegunHead && !mayBeginResponse(Incoming))
+      return malformed("bytes that begin no response");
     beast::error_code Error;
     std::size_t Offset = 0;
     while (Offset < Incoming.size() && !CurrentParser->is_done()) {
@@ -117,6 +121,7 @@
       if (Error || Consumed == 0)
         break;
     }
+    HasBegunHead = HasBegunHead || Offset > 0;
     Incoming.erase(0, Offset);
     Common::releaseSpareMemory(Incoming);
     if (Error && Error != beast::http::error::need_more)
@@ -173,6 +178,8 @@
   std::string ErrorMessage;
   int Skipped = 0;
   bool Started = false;
+  // Whether the parser has taken a part of the current response.
+  bool HasBegunHead = false;
   bool KeepAlive = false;
 };
 
--- a/Source/UnitTests/Http/KeepAliveClientTests.cpp
+++ b/Source/UnitTests/Http/KeepAliveClientTests.cpp
@@ -224,8 +224,10 @@
   const std::vector<std::string> Lines = {
       "HTTP/1.1 000 Unknown", "HTTP/1.0 000 Unknown", "HTTP/1.1 000",
       "HTTP/1.1 001 Unknown", "HTTP/1.1 099 Unknown", "HTTP/1.1 600 Unknown",
-      "HTTP/1.1 999 Unknown", "HTTP/1.1 20 OK",       "HTTP/1.1 2000 OK",
-      "HTTP/1.1 abc OK",      "HTTP/1.1 -01 OK",      "HTTP/3.1 200 OK"};
+      "HTTP/1.1 999 Unknown", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
+      "HTTP/1.1 abc OK", "HTTP/1.1 -01 OK", "HTTP/3.1 200 OK",
+      // Interim responses have no body, so its bytes are no response.
+      "HTTP/1.1 100 Continue", "HTTP/1.1 199 Odd"};
   OnRequest = [&](int Number, Net::ByteStream &Peer) {
     const std::string Id = std::to_string(Number);
     Peer.write(Lines.at(Number - 1) + "\r\nX-Id: " + Id +
@@ -240,6 +242,25 @@
   }
 }
 
+// Interim responses and the last one arrive in two pieces, cut at each byte.
+BOOST_FIXTURE_TEST_CASE(AcceptsResponsesInPieces, Fixture) {
+  const auto Whole = [](int Number) {
+    return "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" +
+           response(std::to_string(Number), "body");
+  };
+  OnRequest = [&](int Number, Net::ByteStream &Peer) {
+    const std::string Text = Whole(Number);
+    const auto Cut = static_cast<std::size_t>(Number);
+    Peer.write(Text.substr(0, Cut));
+    Peer.flush();
+    Worker.post([&Peer, Rest = Text.substr(Cut)] { Peer.write(Rest); });
+  };
+  for (std::size_t Number = 1; Number < Whole(10).size(); ++Number) {
+    send(std::to_string(Number));
+    BOOST_TEST(result(Number).Reply.Body == "body", "cut at " << Number);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(FailsOnATruncatedOrMalformedResponse, Fixture) {
   OnRequest = [](int Number, Net::ByteStream &Peer) {
     if (Number == 1) {
--- a/Tools/scenarios/status-lines.py
+++ b/Tools/scenarios/status-lines.py
@@ -25,6 +25,10 @@
     "HTTP/1.1 abc OK",
     "HTTP/1.1 -01 OK",
     "HTTP/1.1 101 Switching Protocols",
+    # Interim responses have no body, so its bytes are no response.
+    "HTTP/1.1 100 Continue",
+    "HTTP/1.1 103 Early Hints",
+    "HTTP/1.1 199 Odd",
     "HTTP/3.1 200 OK",
     "HTTP 200 OK",
     "200 OK",
