--- a/Source/Core/Wire/FrameSocket.cpp
+++ b/Source/Core/Wire/FrameSocket.cpp
@@ -1,22 +1,17 @@
 #include "Wire/FrameSocket.h"
 
 #include "Common/Error.h"
+#include "Common/LengthPrefix.h"
 
 namespace Wire {
 
 namespace {
 
-constexpr std::size_t LengthBytes = 4;
+using Common::LengthPrefixBytes;
+
 // Room for received bytes that a connection keeps between frames.
 constexpr std::size_t MaxKeptBytes = 256 << 10;
 
-std::string encodeLength(std::size_t Bytes) {
-  std::string Result;
-  for (int Shift = 24; Shift >= 0; Shift -= 8)
-    Result.push_back(static_cast<char>(Bytes >> Shift & 0xff));
-  return Result;
-}
-
 } // namespace
 
 struct FrameSocket::Impl {
@@ -59,18 +54,16 @@
   const std::shared_ptr<bool> IsAlive = Alive;
   Incoming.append(Bytes);
   std::size_t Position = 0;
-  while (Incoming.size() - Position >= LengthBytes) {
-    std::size_t Length = 0;
-    for (std::size_t Index = 0; Index < LengthBytes; ++Index)
-      Length =
-          Length << 8 | static_cast<unsigned char>(Incoming[Position + Index]);
+  while (Incoming.size() - Position >= LengthPrefixBytes) {
+    const std::size_t Length = Common::decodeBigEndian(
+        std::string_view(Incoming).substr(Position, LengthPrefixBytes));
     if (Length > MaxFrameBytes) {
       fail("704 FrameTooLarge: " + std::to_string(Length) + " bytes");
       return;
     }
-    if (Incoming.size() - Position - LengthBytes < Length)
+    if (Incoming.size() - Position - LengthPrefixBytes < Length)
       break;
-    Position += LengthBytes;
+    Position += LengthPrefixBytes;
     if (!deliverFrame(std::string_view(Incoming).substr(Position, Length)) ||
         !*IsAlive)
       return;
@@ -108,14 +101,14 @@
 
 void FrameSocket::send(std::string_view Content) {
   const std::size_t Before = Self->Stream->unsentBytes();
-  Self->Stream->write(encodeLength(Content.size()));
+  Self->Stream->write(Common::encodeLengthPrefix(Content.size()));
   Self->Stream->write(Content);
   Self->QueuedBytes += Self->Stream->unsentBytes() - Before;
 }
 
 void FrameSocket::sendOwned(std::string Content) {
   const std::size_t Before = Self->Stream->unsentBytes();
-  Self->Stream->write(encodeLength(Content.size()));
+  Self->Stream->write(Common::encodeLengthPrefix(Content.size()));
   Self->Stream->writeOwned(std::move(Content));
   Self->QueuedBytes += Self->Stream->unsentBytes() - Before;
 }
