--- a/Source/Core/Net/SendQueue.h
+++ b/Source/Core/Net/SendQueue.h
@@ -15,12 +15,12 @@
 // they are sent, so that the memory follows what is left of a long message.
 class SendQueue {
 public:
-  void append(std::string_view Bytes);
-  // Takes the bytes over instead of copying them, unless a few follow others.
-  void appendOwned(std::string Bytes);
   static constexpr std::size_t MaxPartsPerCall = 16;
   using Parts = std::array<iovec, MaxPartsPerCall>;
 
+  void append(std::string_view Bytes);
+  // Takes the bytes over instead of copying them, unless a few follow others.
+  void appendOwned(std::string Bytes);
   // The first bytes, for one system call: the parts of Room that are filled.
   std::span<iovec> front(Parts &Room) const;
   // Removes the first Count bytes, which have been sent.
--- a/Source/Core/Node/MemoryShares.h
+++ b/Source/Core/Node/MemoryShares.h
@@ -8,9 +8,9 @@
 namespace Node {
 
 // How the memory and the descriptors of the machine are divided. Each service
-// keeps to its own share, so that none has to know what the others hold. What
-// is left is for the process itself and for what exists only for a moment, such
-// as a frame while it is encoded.
+// keeps to its own share, so that none has to know what the others hold. The
+// process itself and what exists only for a moment, such as a frame while it is
+// encoded, have no share: they count on the others not being full together.
 
 // For what callers send and have not taken yet. A body counts twice, so that
 // one of 64 MiB fits into the share of 260 MB.
--- a/Source/StandIns/Backend/BackendServer.h
+++ b/Source/StandIns/Backend/BackendServer.h
@@ -70,14 +70,14 @@
   void stop();
 
 private:
-  void handleRequest(Http::ExchangeId Id, const Http::Request &Request);
-  void startWork(Http::ExchangeId Id, const Http::Request &Request);
   // What a request asks its answer to be.
   struct Answer {
     std::string CallerId;
     std::size_t Bytes = 0;
   };
 
+  void handleRequest(Http::ExchangeId Id, const Http::Request &Request);
+  void startWork(Http::ExchangeId Id, const Http::Request &Request);
   void finishWork(Http::ExchangeId Id, const Answer &Reply);
   void startNextQueued();
   void releaseHungCalls();
