Read the newest set after the store has come back from an older copy

Cause: a reader goes on from an offset. After the drill that offset names another record, or the end of the topic, and nothing read the header that tells of the drill.

Change: the adapter translates the header into an era (Recovery::StoreEra) that comes with each answer, also with refusals. Recovery::EraTracker compares eras. Config::ConfigFollower discards a position of an earlier era, and what was read from it, and reads the newest set; the version in force never decreases. Answers of an earlier era that arrive late change nothing, and pages of two eras are read again. Replies between nodes carry the era, since most nodes read no store themselves, and Node::RecoveryService tells the other services of a node. A store without eras works as before.

--- a/Source/Core/Config/ConfigFollower.cpp
+++ b/Source/Core/Config/ConfigFollower.cpp
@@ -185,11 +185,44 @@
   return IsReader ? handleReaderFailure(ReaderEnd::Lost, Now) : FollowActions();
 }
 
+bool ConfigFollower::isUsable(const SourceAnswer &Answer) const {
+  switch (Eras.compare(Answer.Era)) {
+  case Recovery::EraOrder::Same:
+  case Recovery::EraOrder::First:
+    return true;
+  case Recovery::EraOrder::Later:
+    // A read of the newest set depends on no position.
+    return !Position;
+  case Recovery::EraOrder::Earlier:
+    return false;
+  }
+  return false;
+}
+
+FollowActions
+ConfigFollower::handleEra(std::optional<Recovery::StoreEra> Stated,
+                          Common::SteadyTime Now) {
+  if (Eras.observe(Stated) != Recovery::EraOrder::Later)
+    return {};
+  Position.reset();
+  if (!ReadingSince)
+    return {};
+  FollowActions Actions{CancelRead{}};
+  for (FollowAction &Action : startRead(Now))
+    Actions.push_back(std::move(Action));
+  return Actions;
+}
+
 FollowActions ConfigFollower::handleSourceAnswer(const SourceAnswer &Answer,
                                                  Common::SteadyTime Now) {
+  const bool IsUsable = isUsable(Answer);
+  if (Eras.observe(Answer.Era) == Recovery::EraOrder::Later)
+    Position.reset();
   const bool WasInTime =
       ReadingSince && Now - *ReadingSince <= ReadWait + Options.MinReadSlack;
   ReadingSince.reset();
+  if (Answer.Code == Common::ResultCode::Ok && !IsUsable)
+    return startRead(Now);
   TakingOver = false;
   if (Answer.Code == Common::ResultCode::Ok) {
     if (WasInTime)
--- a/Source/Core/Config/ConfigFollower.h
+++ b/Source/Core/Config/ConfigFollower.h
@@ -9,6 +9,7 @@
 
 #include "Common/Time.h"
 #include "Config/ConfigSource.h"
+#include "Recovery/EraTracker.h"
 
 namespace Config {
 
@@ -129,10 +130,17 @@
   FollowActions start(Common::SteadyTime Now);
   // Updates the other nodes that are alive.
   void setPeers(std::vector<FollowPeer> Alive);
-  // A read of the source completed. If it returned a set, adoptVersion was
-  // called for it before.
+  // Whether the content and the position of this answer may be used. A read
+  // from a position of an earlier era of the source says nothing of what the
+  // source holds now.
+  bool isUsable(const SourceAnswer &Answer) const;
+  // A read of the source completed. If it returned a usable set, adoptVersion
+  // was called for it before.
   FollowActions handleSourceAnswer(const SourceAnswer &Answer,
                                    Common::SteadyTime Now);
+  // Another call to the source, or a peer, stated this era of the source.
+  FollowActions handleEra(std::optional<Recovery::StoreEra> Stated,
+                          Common::SteadyTime Now);
   // A part of an answer arrived, which restarts the read timeout. A large
   // answer may take longer than the timeout in total.
   void handleReadProgress(Common::SteadyTime Now);
@@ -151,6 +159,8 @@
   FollowActions handleLongPoll(Common::SteadyTime Now);
 
   Version held() const { return Held; }
+  // The latest era of the source that is known.
+  std::optional<Recovery::StoreEra> sourceEra() const { return Eras.current(); }
   // Whether the last read of the source failed.
   bool isReadFailing() const { return ReadFailing; }
   // The reader that this node long-polls; empty while it reads the source.
@@ -214,6 +224,8 @@
   bool SourceResponding = false;
   bool TakingOver = false;
   Version Held = 0;
+  Recovery::EraTracker Eras;
+  // Where the next read goes on, in the era that Eras holds.
   std::optional<SourcePosition> Position;
   bool ReadFailing = false;
   // A newer set arrived; the next read is delayed because more may follow.
--- a/Source/Core/Config/ConfigSource.h
+++ b/Source/Core/Config/ConfigSource.h
@@ -2,11 +2,13 @@
 
 #include <concepts>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "Common/ResultCode.h"
 #include "Common/Time.h"
 #include "Config/ObjectSet.h"
+#include "Recovery/StoreEra.h"
 
 namespace Config {
 
@@ -22,6 +24,8 @@
   std::string Content;
   SourcePosition Next = 0;
   std::string Detail;
+  // The era in which the source answered, and in which Next holds.
+  std::optional<Recovery::StoreEra> Era = {};
 };
 
 // A set decoded from the content of a source.
--- a/Source/Core/Config/ReplicationMessage.h
+++ b/Source/Core/Config/ReplicationMessage.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
 #include "Config/AcceptedHistory.h"
 #include "Config/SetDelta.h"
+#include "Recovery/StoreEra.h"
 
 namespace Config {
 
@@ -16,6 +18,8 @@
   std::string Node;
   Version Held = 0;
   bool ReadsLog = false;
+  // The latest era of the source that the node knows.
+  std::optional<Recovery::StoreEra> SourceEra = {};
 };
 
 struct SetRequest {
@@ -38,6 +42,8 @@
   SetDelta Content;
   // Hash of the canonical text of the complete set.
   std::uint64_t Hash = 0;
+  // As in HeldVersion.
+  std::optional<Recovery::StoreEra> SourceEra = {};
 };
 
 // The sender is already sending the maximum number of snapshots.
--- a/Source/Core/Membership/NodeDirectory.h
+++ b/Source/Core/Membership/NodeDirectory.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "Common/ResultCode.h"
 #include "Membership/Datagram.h"
+#include "Recovery/StoreEra.h"
 
 namespace Membership {
 
@@ -27,8 +27,8 @@
 template <class D>
 concept NodeDirectory = requires(
     D &Directory, const DirectoryEntry &Own, const DepartedServer &Departed,
-    std::function<void(Common::ResultCode)> OnAnnounced,
-    std::function<void(Common::ResultCode, std::vector<DirectoryEntry>)>
+    std::function<void(Recovery::StoreAnswer)> OnAnnounced,
+    std::function<void(Recovery::StoreAnswer, std::vector<DirectoryEntry>)>
         OnListed) {
   // Replaces the previous announcement of the node.
   Directory.announce(Own, OnAnnounced);
--- a/Source/Core/Node/ConfigService.h
+++ b/Source/Core/Node/ConfigService.h
@@ -111,6 +111,8 @@
       spdlog::warn("configuration message is refused: {}", Failure.what());
     }
   }
+  // The product's own log is never replaced by an older copy.
+  void onMessage(const StoreEraChanged &) {}
   void onMessage(const EnvelopeConnectionLost &Event) {
     act(Replicator.handlePeerLost(Event.Address, now()));
   }
--- a/Source/Core/Node/DirectoryService.h
+++ b/Source/Core/Node/DirectoryService.h
@@ -8,6 +8,7 @@
 #include "Membership/DirectoryBootstrap.h"
 #include "Node/Messages.h"
 #include "Node/NodeSettings.h"
+#include "Recovery/EraTracker.h"
 
 namespace Node {
 
@@ -23,6 +24,8 @@
   struct Sinks {
     Members ToMembers;
     Announcements ToAnnouncements;
+    // Closed if the directory is never replaced by an older copy.
+    Kernel::Address<RecoveryMessage> ToRecovery = {};
   };
 
   DirectoryService(Kernel::Context Context, const NodeSettings &Settings,
@@ -54,14 +57,33 @@
     Bootstrap.setLiveMembers(Event.Alive->size());
   }
 
+  void onMessage(const StoreEraChanged &Event) { Eras.observe(Event.Era); }
+
   void onMessage(const RecordDeparture &Event) {
     DirectoryClient->recordDeparture(
         Self.Node, Event.Departed,
-        [this, Departed = Event.Departed](Common::ResultCode Code) {
-          Targets.ToAnnouncements.post(DepartureRecorded{Departed, Code});
+        [this, Departed = Event.Departed](Recovery::StoreAnswer Answer) {
+          Targets.ToAnnouncements.post(
+              DepartureRecorded{Departed, resultOfWrite(Answer)});
         });
   }
 
+  // What was written in an earlier era may be lost, although the answer to it
+  // arrives only now.
+  Common::ResultCode resultOfWrite(const Recovery::StoreAnswer &Answer) {
+    const bool MayBeLost = observe(Answer) == Recovery::EraOrder::Earlier;
+    return MayBeLost && Answer.Code == Common::ResultCode::Ok
+               ? Common::ResultCode::LogUnavailable
+               : Answer.Code;
+  }
+
+  Recovery::EraOrder observe(const Recovery::StoreAnswer &Answer) {
+    const Recovery::EraOrder Result = Eras.observe(Answer.Era);
+    if (Result != Recovery::EraOrder::Same)
+      Targets.ToRecovery.post(StoreEraSeen{*Answer.Era, "directory"});
+    return Result;
+  }
+
   void tick() {
     Clock.after(TickInterval, [this] { tick(); });
     const Membership::DirectoryStep Step = Bootstrap.nextStep(now());
@@ -72,7 +94,8 @@
   }
 
   void announce() {
-    DirectoryClient->announce(Self, [this](Common::ResultCode Code) {
+    DirectoryClient->announce(Self, [this](Recovery::StoreAnswer Answer) {
+      const Common::ResultCode Code = resultOfWrite(Answer);
       if (Code != Common::ResultCode::Ok)
         spdlog::warn("dependency=directory state=lost step=announce code={}",
                      Common::resultCodeNumber(Code));
@@ -81,25 +104,27 @@
   }
 
   void list() {
-    DirectoryClient->list(
-        [this](Common::ResultCode Code,
-               std::vector<Membership::DirectoryEntry> Found) {
-          const bool Succeeded = Code == Common::ResultCode::Ok;
-          if (!Succeeded)
-            spdlog::warn("dependency=directory state=lost step=list code={}",
-                         Common::resultCodeNumber(Code));
-          else
-            reportOwnDeparture(Found);
-          std::erase_if(Found, [this](const Membership::DirectoryEntry &Entry) {
-            return Entry.Node == Self.Node;
-          });
-          auto Seeds = Bootstrap.onListed(Succeeded, Found, now());
-          if (Seeds.empty())
-            return;
-          spdlog::info("event=seeds-found local={} remote={}",
-                       Seeds.Local.size(), Seeds.Remote.size());
-          Targets.ToMembers.post(SeedsFound{std::move(Seeds)});
-        });
+    DirectoryClient->list([this](
+                              Recovery::StoreAnswer Answer,
+                              std::vector<Membership::DirectoryEntry> Found) {
+      const bool IsCurrent = observe(Answer) != Recovery::EraOrder::Earlier;
+      const bool Succeeded = IsCurrent && Answer.Code == Common::ResultCode::Ok;
+      if (!Succeeded)
+        spdlog::warn("dependency=directory state=lost step=list code={}",
+                     Common::resultCodeNumber(Answer.Code));
+      else
+        reportOwnDeparture(Found);
+      // Nodes that are known need no introduction.
+      std::erase_if(Found, [this](const Membership::DirectoryEntry &Entry) {
+        return Entry.Node == Self.Node;
+      });
+      auto Seeds = Bootstrap.onListed(Succeeded, Found, now());
+      if (Seeds.empty())
+        return;
+      spdlog::info("event=seeds-found local={} remote={}", Seeds.Local.size(),
+                   Seeds.Remote.size());
+      Targets.ToMembers.post(SeedsFound{std::move(Seeds)});
+    });
   }
 
   void
@@ -118,6 +143,7 @@
   std::unique_ptr<Directory> DirectoryClient;
   Membership::DirectoryBootstrap Bootstrap;
   Membership::DirectoryEntry Self;
+  Recovery::EraTracker Eras;
 };
 
 } // namespace Node
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -16,6 +16,7 @@
 #include "Membership/Member.h"
 #include "Membership/Traffic.h"
 #include "Once/CallKey.h"
+#include "Recovery/StoreEra.h"
 #include "Report/CallSample.h"
 #include "Rollout/ServerWatch.h"
 #include "Routing/Call.h"
@@ -39,6 +40,22 @@
 inline const std::string AdminName = "admin";
 inline const std::string AnnouncementsName = "announcements";
 inline const std::string RolloutsName = "rollouts";
+inline const std::string RecoveryName = "recovery";
+
+// An answer of the platform's store, or another node, stated an era of the
+// store that the sender did not know.
+struct StoreEraSeen {
+  Recovery::StoreEra Era = 0;
+  // What stated it.
+  std::string Source;
+};
+using RecoveryMessage = std::variant<StoreEraSeen>;
+
+// The era of the store that is now known. Positions of an earlier one are not
+// valid any more.
+struct StoreEraChanged {
+  Recovery::StoreEra Era = 0;
+};
 
 // Identifies the connection on which a call arrived. LocalOrigin stands for
 // the ingress of this node.
@@ -200,7 +217,8 @@
 struct RecordDeparture {
   Membership::DepartedServer Departed;
 };
-using DirectoryMessage = std::variant<MembersChanged, RecordDeparture>;
+using DirectoryMessage =
+    std::variant<MembersChanged, RecordDeparture, StoreEraChanged>;
 
 // Messages of the backend server beside this node. Each is answered with
 // AnnouncementAnswered for its exchange.
@@ -261,8 +279,8 @@
 };
 using ControlMessage = std::variant<SendEnvelope, ReplyEnvelope>;
 
-using ConfigMessage =
-    std::variant<MembersChanged, EnvelopeArrived, EnvelopeConnectionLost>;
+using ConfigMessage = std::variant<MembersChanged, EnvelopeArrived,
+                                   EnvelopeConnectionLost, StoreEraChanged>;
 
 // Claims the idempotency key of a call that must run at most once.
 struct ClaimCall {
--- a/Source/Core/Node/RolloutService.h
+++ b/Source/Core/Node/RolloutService.h
@@ -342,7 +342,8 @@
         merge(Adopted, "found in the store");
       if (Step.Write)
         Orders->writeStatus(
-            *Step.Write, Read.End, [this](Common::ResultCode Code) {
+            *Step.Write, Read.End, [this](const Recovery::StoreAnswer &Answer) {
+              const Common::ResultCode Code = Answer.Code;
               spdlog::info("event=rollout-status-written code={}",
                            Common::resultCodeNumber(Code));
               for (const auto &Written : Writer.onWritten(Code, now()))
--- a/Source/Core/Node/SourceConfigService.h
+++ b/Source/Core/Node/SourceConfigService.h
@@ -32,6 +32,8 @@
     // Called once, when the first set is in force.
     std::function<void()> OnFirstSet;
     Kernel::Address<AnnouncementMessage> ToAnnouncements = {};
+    // Closed if the source is never replaced by an older copy.
+    Kernel::Address<RecoveryMessage> ToRecovery = {};
   };
 
   SourceConfigService(Kernel::Context Context, const NodeSettings &Settings,
@@ -138,14 +140,30 @@
 
   void onReadFinished(const Config::SourceAnswer &Answer) {
     LastRead = {Answer.Code, Answer.Detail};
-    if (!Answer.Content.empty())
+    const bool IsUsable = Follower.isUsable(Answer);
+    if (IsUsable && !Answer.Content.empty())
       install(Answer.Content, "source");
     act(Follower.handleSourceAnswer(Answer, now()));
+    reportEra("source");
     // Shows the peers that this node is alive and the source answers it.
-    if (Answer.Code == Common::ResultCode::Ok)
+    if (IsUsable && Answer.Code == Common::ResultCode::Ok)
       answerWaitersNothingNewer();
   }
 
+  void handleEra(std::optional<Recovery::StoreEra> Stated,
+                 const std::string &Origin) {
+    act(Follower.handleEra(Stated, now()));
+    reportEra(Origin);
+  }
+
+  void reportEra(const std::string &Origin) {
+    if (Follower.sourceEra() == ReportedEra)
+      return;
+    ReportedEra = Follower.sourceEra();
+    Cache.EncodedAnswers.clear();
+    Targets.ToRecovery.post(StoreEraSeen{*ReportedEra, Origin});
+  }
+
   void install(std::string Content, const std::string &Provider) {
     try {
       const Config::DecodedSet Read = ConfigSource->decode(Content);
@@ -196,12 +214,17 @@
       answerRequest(Origin, *Request);
     } else if (const auto *Snapshot =
                    std::get_if<Config::SetSnapshot>(&Content)) {
+      handleEra(Snapshot->SourceEra, "peer " + Snapshot->Node);
       handleSnapshot(*Snapshot);
       act(Follower.handlePeerAnswer(Snapshot->Node, true, now()));
     } else if (const auto *Reply = std::get_if<Config::HeldVersion>(&Content)) {
+      handleEra(Reply->SourceEra, "peer " + Reply->Node);
       act(Follower.handlePeerAnswer(Reply->Node, Reply->ReadsLog, now()));
     }
   }
+  void onMessage(const StoreEraChanged &Event) {
+    handleEra(Event.Era, RecoveryName);
+  }
   void onMessage(const EnvelopeConnectionLost &Event) {
     act(Follower.handlePeerLost(Event.Address, now()));
   }
@@ -245,7 +268,8 @@
 
   std::string encodeHeldVersion() const {
     return Wire::encodeReplication(Config::HeldVersion{
-        Settings.Name, Follower.held(), Follower.isConnectedToSource(now())});
+        Settings.Name, Follower.held(), Follower.isConnectedToSource(now()),
+        Follower.sourceEra()});
   }
   void answerNothingNewer(OriginId Origin) {
     reply(Origin, encodeHeldVersion());
@@ -272,6 +296,7 @@
       Snapshot.Content.Changed =
           BaseContent ? Wire::makePatch(*BaseContent, WholeSet) : WholeSet;
       Snapshot.Hash = Common::hashOf(WholeSet);
+      Snapshot.SourceEra = Follower.sourceEra();
       Encoded = Wire::encodeReplication(Snapshot);
     }
     reply(Origin, Encoded);
@@ -332,6 +357,8 @@
   // The state last written to the log.
   std::string LoggedReader;
   bool LoggedCutOff = false;
+  // The era that the recovery service knows from this one.
+  std::optional<Recovery::StoreEra> ReportedEra;
 };
 
 } // namespace Node
--- a/Source/Core/Rollout/OrderStore.h
+++ b/Source/Core/Rollout/OrderStore.h
@@ -2,10 +2,11 @@
 
 #include <concepts>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
-#include "Common/ResultCode.h"
+#include "Recovery/StoreEra.h"
 #include "Rollout/Order.h"
 
 namespace Rollout {
@@ -16,6 +17,8 @@
   std::vector<Order> Orders;
   // The position from which to read on.
   std::int64_t Next = 0;
+  // The era in which the store answered, and in which the positions hold.
+  std::optional<Recovery::StoreEra> Era = {};
 };
 
 // What the operator is told about a roll-out.
@@ -32,6 +35,8 @@
   std::vector<Status> Statuses;
   // The end of the statuses, which WriteStatus names as its condition.
   std::int64_t End = 0;
+  // As in OrdersRead.
+  std::optional<Recovery::StoreEra> Era = {};
 };
 
 // Where operators leave their orders and find their statuses. All functions
@@ -41,7 +46,7 @@
     requires(S &Store, std::int64_t Position, Common::Micros MaxWait,
              const Status &Content, std::function<void(OrdersRead)> OnOrders,
              std::function<void(StatusesRead)> OnStatuses,
-             std::function<void(Common::ResultCode)> OnWritten) {
+             std::function<void(Recovery::StoreAnswer)> OnWritten) {
   // The newest order of each service.
   Store.readOrders(OnOrders);
   // The orders from Position on; waits for one.
--- a/Source/Core/Wire/Config.thrift
+++ b/Source/Core/Wire/Config.thrift
@@ -6,6 +6,7 @@
   1: string Node,
   2: i64 Held,
   3: bool ReadsLog,
+  4: optional i64 SourceEra,
 }
 
 struct SpreadRequest {
@@ -23,6 +24,7 @@
   5: binary CompressedText,
   6: list<string> Removed,
   7: i64 Hash,
+  8: optional i64 SourceEra,
 }
 
 struct SpreadRefused {
--- a/Source/Core/Wire/ConfigCodec.cpp
+++ b/Source/Core/Wire/ConfigCodec.cpp
@@ -19,6 +19,8 @@
   Part.Node = From.Node;
   Part.Held = From.Held;
   Part.ReadsLog = From.ReadsLog;
+  if (From.SourceEra)
+    Part.__set_SourceEra(*From.SourceEra);
   Generated::SpreadPart Result;
   Result.__set_Held(Part);
   return Result;
@@ -44,6 +46,8 @@
   Part.CompressedText = compress(From.Content.Changed);
   Part.Removed = From.Content.Removed;
   Part.Hash = static_cast<std::int64_t>(From.Hash);
+  if (From.SourceEra)
+    Part.__set_SourceEra(*From.SourceEra);
   Generated::SpreadPart Result;
   Result.__set_Snapshot(Part);
   return Result;
@@ -57,6 +61,13 @@
   return Result;
 }
 
+Config::HeldVersion fromWire(const Generated::SpreadHeld &From) {
+  Config::HeldVersion Result{From.Node, From.Held, From.ReadsLog};
+  if (From.__isset.SourceEra)
+    Result.SourceEra = From.SourceEra;
+  return Result;
+}
+
 Config::SetSnapshot fromWire(const Generated::SpreadSnapshot &From) {
   Config::SetSnapshot Result;
   Result.Node = From.Node;
@@ -66,6 +77,8 @@
   Result.Content.Changed = decompress(From.CompressedText, MaxSetBytes);
   Result.Content.Removed = From.Removed;
   Result.Hash = static_cast<std::uint64_t>(From.Hash);
+  if (From.__isset.SourceEra)
+    Result.SourceEra = From.SourceEra;
   return Result;
 }
 
@@ -80,8 +93,7 @@
   auto Decoded =
       unpackCompact<Generated::SpreadPart>(Bytes, ResultCode::FrameMalformed);
   if (Decoded.__isset.Held)
-    return Config::HeldVersion{std::move(Decoded.Held.Node), Decoded.Held.Held,
-                               Decoded.Held.ReadsLog};
+    return fromWire(Decoded.Held);
   if (Decoded.__isset.Request)
     return Config::SetRequest{std::move(Decoded.Request.Node),
                               Decoded.Request.Held, Decoded.Request.WholeOnly,
--- a/Source/Core/Wire/Generated/Config_types.cpp
+++ b/Source/Core/Wire/Generated/Config_types.cpp
@@ -29,6 +29,11 @@
 void SpreadHeld::__set_ReadsLog(const bool val) {
   this->ReadsLog = val;
 }
+
+void SpreadHeld::__set_SourceEra(const int64_t val) {
+  this->SourceEra = val;
+__isset.SourceEra = true;
+}
 std::ostream& operator<<(std::ostream& out, const SpreadHeld& obj)
 {
   obj.printTo(out);
@@ -81,6 +86,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->SourceEra);
+          this->__isset.SourceEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -110,6 +123,11 @@
   xfer += oprot->writeBool(this->ReadsLog);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.SourceEra) {
+    xfer += oprot->writeFieldBegin("SourceEra", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->SourceEra);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -120,6 +138,7 @@
   swap(a.Node, b.Node);
   swap(a.Held, b.Held);
   swap(a.ReadsLog, b.ReadsLog);
+  swap(a.SourceEra, b.SourceEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -127,12 +146,14 @@
   Node = other0.Node;
   Held = other0.Held;
   ReadsLog = other0.ReadsLog;
+  SourceEra = other0.SourceEra;
   __isset = other0.__isset;
 }
 SpreadHeld& SpreadHeld::operator=(const SpreadHeld& other1) {
   Node = other1.Node;
   Held = other1.Held;
   ReadsLog = other1.ReadsLog;
+  SourceEra = other1.SourceEra;
   __isset = other1.__isset;
   return *this;
 }
@@ -142,6 +163,7 @@
   out << "Node=" << to_string(Node);
   out << ", " << "Held=" << to_string(Held);
   out << ", " << "ReadsLog=" << to_string(ReadsLog);
+  out << ", " << "SourceEra="; (__isset.SourceEra ? (out << to_string(SourceEra)) : (out << "<null>"));
   out << ")";
 }
 
@@ -329,6 +351,11 @@
 void SpreadSnapshot::__set_Hash(const int64_t val) {
   this->Hash = val;
 }
+
+void SpreadSnapshot::__set_SourceEra(const int64_t val) {
+  this->SourceEra = val;
+__isset.SourceEra = true;
+}
 std::ostream& operator<<(std::ostream& out, const SpreadSnapshot& obj)
 {
   obj.printTo(out);
@@ -425,6 +452,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->SourceEra);
+          this->__isset.SourceEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -478,6 +513,11 @@
   xfer += oprot->writeI64(this->Hash);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.SourceEra) {
+    xfer += oprot->writeFieldBegin("SourceEra", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->SourceEra);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -492,6 +532,7 @@
   swap(a.CompressedText, b.CompressedText);
   swap(a.Removed, b.Removed);
   swap(a.Hash, b.Hash);
+  swap(a.SourceEra, b.SourceEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -503,6 +544,7 @@
   CompressedText = other10.CompressedText;
   Removed = other10.Removed;
   Hash = other10.Hash;
+  SourceEra = other10.SourceEra;
   __isset = other10.__isset;
 }
 SpreadSnapshot& SpreadSnapshot::operator=(const SpreadSnapshot& other11) {
@@ -513,6 +555,7 @@
   CompressedText = other11.CompressedText;
   Removed = other11.Removed;
   Hash = other11.Hash;
+  SourceEra = other11.SourceEra;
   __isset = other11.__isset;
   return *this;
 }
@@ -526,6 +569,7 @@
   out << ", " << "CompressedText=" << to_string(CompressedText);
   out << ", " << "Removed=" << to_string(Removed);
   out << ", " << "Hash=" << to_string(Hash);
+  out << ", " << "SourceEra="; (__isset.SourceEra ? (out << to_string(SourceEra)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Config_types.h
+++ b/Source/Core/Wire/Generated/Config_types.h
@@ -34,10 +34,11 @@
 class CheckpointPart;
 
 typedef struct _SpreadHeld__isset {
-  _SpreadHeld__isset() : Node(false), Held(false), ReadsLog(false) {}
+  _SpreadHeld__isset() : Node(false), Held(false), ReadsLog(false), SourceEra(false) {}
   bool Node :1;
   bool Held :1;
   bool ReadsLog :1;
+  bool SourceEra :1;
 } _SpreadHeld__isset;
 
 class SpreadHeld : public virtual ::apache::thrift::TBase {
@@ -48,13 +49,15 @@
   SpreadHeld() noexcept
              : Node(),
                Held(0),
-               ReadsLog(0) {
+               ReadsLog(0),
+               SourceEra(0) {
   }
 
   virtual ~SpreadHeld() noexcept;
   std::string Node;
   int64_t Held;
   bool ReadsLog;
+  int64_t SourceEra;
 
   _SpreadHeld__isset __isset;
 
@@ -64,6 +67,8 @@
 
   void __set_ReadsLog(const bool val);
 
+  void __set_SourceEra(const int64_t val);
+
   bool operator == (const SpreadHeld & rhs) const
   {
     if (!(Node == rhs.Node))
@@ -72,6 +77,10 @@
       return false;
     if (!(ReadsLog == rhs.ReadsLog))
       return false;
+    if (__isset.SourceEra != rhs.__isset.SourceEra)
+      return false;
+    else if (__isset.SourceEra && !(SourceEra == rhs.SourceEra))
+      return false;
     return true;
   }
   bool operator != (const SpreadHeld &rhs) const {
@@ -155,7 +164,7 @@
 std::ostream& operator<<(std::ostream& out, const SpreadRequest& obj);
 
 typedef struct _SpreadSnapshot__isset {
-  _SpreadSnapshot__isset() : Node(false), Number(false), Level(false), Base(false), CompressedText(false), Removed(false), Hash(false) {}
+  _SpreadSnapshot__isset() : Node(false), Number(false), Level(false), Base(false), CompressedText(false), Removed(false), Hash(false), SourceEra(false) {}
   bool Node :1;
   bool Number :1;
   bool Level :1;
@@ -163,6 +172,7 @@
   bool CompressedText :1;
   bool Removed :1;
   bool Hash :1;
+  bool SourceEra :1;
 } _SpreadSnapshot__isset;
 
 class SpreadSnapshot : public virtual ::apache::thrift::TBase {
@@ -176,7 +186,8 @@
                    Level(0),
                    Base(0),
                    CompressedText(),
-                   Hash(0) {
+                   Hash(0),
+                   SourceEra(0) {
   }
 
   virtual ~SpreadSnapshot() noexcept;
@@ -187,6 +198,7 @@
   std::string CompressedText;
   std::vector<std::string>  Removed;
   int64_t Hash;
+  int64_t SourceEra;
 
   _SpreadSnapshot__isset __isset;
 
@@ -204,6 +216,8 @@
 
   void __set_Hash(const int64_t val);
 
+  void __set_SourceEra(const int64_t val);
+
   bool operator == (const SpreadSnapshot & rhs) const
   {
     if (!(Node == rhs.Node))
@@ -220,6 +234,10 @@
       return false;
     if (!(Hash == rhs.Hash))
       return false;
+    if (__isset.SourceEra != rhs.__isset.SourceEra)
+      return false;
+    else if (__isset.SourceEra && !(SourceEra == rhs.SourceEra))
+      return false;
     return true;
   }
   bool operator != (const SpreadSnapshot &rhs) const {
--- a/Source/UnitTests/Config/ConfigFollowerTests.cpp
+++ b/Source/UnitTests/Config/ConfigFollowerTests.cpp
@@ -62,6 +62,60 @@
   BOOST_TEST(count<ReadNewestSet>(answer(ResultCode::LogOffsetExpired)) == 1);
 }
 
+// Guards against a read that goes on from a position of before the source came
+// back from an older copy, where another record is now. The answer may hold
+// records or none.
+BOOST_FIXTURE_TEST_CASE(ReadsTheNewestSetInALaterEra, FollowerFixture) {
+  for (const char *Content : {"", "a set"}) {
+    Follower = ConfigFollower(FollowOptions(), 1);
+    startWithoutPeers();
+    Follower.handleSourceAnswer({ResultCode::Ok, "", 7, "", 1}, Now);
+    const SourceAnswer Later{ResultCode::Ok, Content, 7, "", 3};
+    BOOST_TEST(!Follower.isUsable(Later));
+    BOOST_TEST(count<ReadNewestSet>(Follower.handleSourceAnswer(Later, Now)) ==
+               1);
+    // The newest set was read in the later era.
+    const SourceAnswer Newest{ResultCode::Ok, "", 2, "", 3};
+    BOOST_TEST(Follower.isUsable(Newest));
+    const auto Next = Follower.handleSourceAnswer(Newest, Now);
+    BOOST_REQUIRE_EQUAL(count<ReadFrom>(Next), 1);
+    BOOST_TEST(std::get<ReadFrom>(Next[0]).From == 2);
+  }
+}
+
+// A refusal may be the first answer of a later era.
+BOOST_FIXTURE_TEST_CASE(ReadsTheNewestSetAfterARefusalInALaterEra,
+                        FollowerFixture) {
+  startWithoutPeers();
+  Follower.handleSourceAnswer({ResultCode::Ok, "", 7, "", 1}, Now);
+  Follower.handleSourceAnswer({ResultCode::LogUnavailable, "", 0, "", 2}, Now);
+  const auto Actions = runTicks(Millis(500));
+  BOOST_TEST(count<ReadNewestSet>(Actions) == 1);
+  BOOST_TEST(count<ReadFrom>(Actions) == 0);
+}
+
+// The newest set was read just before the source came back, and its answer
+// arrives after that of another call.
+BOOST_FIXTURE_TEST_CASE(IgnoresAnAnswerOfAnEarlierEra, FollowerFixture) {
+  startWithoutPeers();
+  BOOST_TEST(Follower.handleEra(2, Now).empty());
+  const SourceAnswer Late{ResultCode::Ok, "a set", 7, "", 1};
+  BOOST_TEST(!Follower.isUsable(Late));
+  BOOST_TEST(count<ReadNewestSet>(Follower.handleSourceAnswer(Late, Now)) == 1);
+}
+
+// Another call, or a peer, may tell first.
+BOOST_FIXTURE_TEST_CASE(CancelsItsReadWhenALaterEraIsKnown, FollowerFixture) {
+  startWithoutPeers();
+  Follower.handleSourceAnswer({ResultCode::Ok, "", 7, "", 1}, Now);
+  const auto Actions = Follower.handleEra(2, Now);
+  BOOST_TEST(count<CancelRead>(Actions) == 1);
+  BOOST_TEST(count<ReadNewestSet>(Actions) == 1);
+  BOOST_TEST(Follower.handleEra(2, Now).empty());
+  BOOST_TEST(Follower.handleEra(1, Now).empty());
+  BOOST_TEST(Follower.handleEra(std::nullopt, Now).empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(VersionNeverDecreases, FollowerFixture) {
   BOOST_TEST(Follower.adoptVersion(5));
   BOOST_TEST(!Follower.adoptVersion(5));
@@ -161,6 +215,16 @@
   }
 }
 
+// A node that polls its reader does not read the source because of a later era,
+// and does not go on from its old position when it takes over.
+BOOST_FIXTURE_TEST_CASE(ALaterEraSendsNoFollowerToTheSource, ReaderFixture) {
+  Follower.handleSourceAnswer({ResultCode::Ok, "", 7, "", 1}, Now);
+  BOOST_TEST(Follower.polledReader() == ReaderPeer.Node);
+  BOOST_TEST(Follower.handleEra(2, Now).empty());
+  BOOST_TEST(count<ReadNewestSet>(
+                 Follower.handlePeerAnswer(ReaderPeer.Node, false, Now)) == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(TheFirstRankReadsTheSource, ReaderFixture) {
   Peers.erase(Peers.begin());
   Follower.setPeers(Peers);
--- a/Source/UnitTests/Node/SourceConfigServiceTests.cpp
+++ b/Source/UnitTests/Node/SourceConfigServiceTests.cpp
@@ -45,6 +45,9 @@
     std::exchange(PendingRead,
                   nullptr)({ResultCode::Ok, contentOf(Number), 1, ""});
   }
+  void answerNothingInEra(Recovery::StoreEra Era) {
+    std::exchange(PendingRead, nullptr)({ResultCode::Ok, "", 1, "", Era});
+  }
   void answerNothing() {
     std::exchange(PendingRead, nullptr)({ResultCode::Ok, "", 1, ""});
   }
@@ -312,6 +315,24 @@
   Worker.runAndWait([&] { Third.reset(); });
 }
 
+// A node that long-polls this one learns from the answer that the source has
+// come back from an older copy, as it does not read the source itself. The
+// answer that shows this proves nothing about newer versions.
+BOOST_FIXTURE_TEST_CASE(WaitingPeersLearnTheEraOfTheSource, Fixture) {
+  Reader.Source->answerNothingInEra(1);
+  Reader.request(0, Common::Millis(1000));
+  Reader.Source->PendingRead = nullptr;
+  Reader.Tested->handle(Node::StoreEraChanged{2});
+  // The read of the newest set replaces the long poll.
+  BOOST_TEST(Reader.Sent.empty());
+  BOOST_REQUIRE(Reader.Source->PendingRead);
+  Reader.Source->answerNothingInEra(2);
+  BOOST_REQUIRE_EQUAL(Reader.Sent.size(), 1);
+  const auto Reply = std::get<HeldVersion>(Reader.lastSent());
+  BOOST_TEST(Reply.ReadsLog);
+  BOOST_TEST((Reply.SourceEra == 2));
+}
+
 BOOST_FIXTURE_TEST_CASE(PatchOfAnotherBaseIsIgnored, Fixture) {
   Reader.Source->answer(4);
   SetSnapshot Mismatched{"peer", 6, CurrentRuleLevel, 4, {"", {}}, 0};
--- a/Source/UnitTests/Wire/CodecTests.cpp
+++ b/Source/UnitTests/Wire/CodecTests.cpp
@@ -5,6 +5,7 @@
 #include "Common/Error.h"
 #include "Wire/Codec.h"
 #include "Wire/Compression.h"
+#include "Wire/ConfigCodec.h"
 
 BOOST_AUTO_TEST_SUITE(Codecs)
 
@@ -42,6 +43,23 @@
   BOOST_TEST(Echo.IsAnswer);
 }
 
+BOOST_AUTO_TEST_CASE(RepliesAboutTheConfigurationKeepTheEra) {
+  Config::SetSnapshot Snapshot;
+  Snapshot.SetVersion = 5;
+  Snapshot.SourceEra = 3;
+  const auto Decoded = std::get<Config::SetSnapshot>(
+      Wire::decodeReplication(Wire::encodeReplication(Snapshot)));
+  BOOST_TEST((Decoded.SourceEra == 3));
+  Config::HeldVersion Held{"n", 5, true, std::nullopt};
+  const auto RoundTrip = [&Held] {
+    return std::get<Config::HeldVersion>(
+        Wire::decodeReplication(Wire::encodeReplication(Held)));
+  };
+  BOOST_TEST(!RoundTrip().SourceEra.has_value());
+  Held.SourceEra = 0;
+  BOOST_TEST((RoundTrip().SourceEra == 0));
+}
+
 BOOST_AUTO_TEST_CASE(RecordsRoundTripAndRejectDamage) {
   Config::Record Proposal;
   Proposal.Id = "id";
