Use only heartbeats that are whole and of this VM

Cause: the decoder read neither the data centre nor demanded the version, the start time and the time of cold start, and any heartbeat of a configured service with a later start took the place of the server. Two hypotheses were open: a wrong decision between two sound heartbeats, or one that should have been refused. The log told them apart: the heartbeat is answered with 200 and followed by event=caller-service by=announcement, and no field of it was refused.

Change: a field that is missing, empty, out of range or of another type makes the heartbeat unusable. Membership::AnnouncementScreen refuses those of another data centre or VM and those from the future (607 HeartbeatForeign). An incarnation can't change its service or address.

Found on the same path: the server of a service that is removed from the configuration was told that it may leave, but its leaving was neither recorded nor known to others; and a departure with a start in the future also bound the server's later incarnations.

--- a/Source/Core/Common/ResultCode.cpp
+++ b/Source/Core/Common/ResultCode.cpp
@@ -127,6 +127,8 @@
        "An announcement of a backend server cannot be parsed."},
       {ResultCode::HeartbeatStale, "HeartbeatStale",
        "An announcement is older than the known state of its backend server."},
+      {ResultCode::HeartbeatForeign, "HeartbeatForeign",
+       "An announcement names no backend server of this VM."},
       {ResultCode::MailboxFull, "MailboxFull",
        "The mailbox of a service is full."},
       {ResultCode::ServiceNotFound, "ServiceNotFound",
--- a/Source/Core/Common/ResultCode.h
+++ b/Source/Core/Common/ResultCode.h
@@ -85,6 +85,7 @@
   NodeUnreachable = 604,
   HeartbeatMalformed = 605,
   HeartbeatStale = 606,
+  HeartbeatForeign = 607,
 
   // 7xx: internal errors.
   MailboxFull = 700,
--- a/Source/Core/Membership/AnnouncementFilter.cpp
+++ b/Source/Core/Membership/AnnouncementFilter.cpp
@@ -14,7 +14,12 @@
                            Received.StartTime <= Departed->LastStart;
   if (IsStale || HasDeparted)
     return Common::ResultCode::HeartbeatStale;
+  if (IsSameIncarnation &&
+      (Received.Server.Service != Service || Received.Address != Address))
+    return Common::ResultCode::HeartbeatForeign;
   Server = Received.Server.Server;
+  Service = Received.Server.Service;
+  Address = Received.Address;
   StartTime = Received.StartTime;
   Sequence = Received.Sequence;
   HasLeft = Received.Server.Leaving;
@@ -23,6 +28,11 @@
   return Common::ResultCode::Ok;
 }
 
+bool AnnouncementFilter::isOfCurrentServer(const Announcement &Received) const {
+  return Received.Server.Server == Server && Received.StartTime == StartTime &&
+         Received.Server.Service == Service;
+}
+
 bool AnnouncementFilter::handleDeparture(const Departure &Received) {
   // A late departure of an earlier incarnation, or of an earlier server. Its
   // announcements are stale in any case.
--- a/Source/Core/Membership/AnnouncementFilter.h
+++ b/Source/Core/Membership/AnnouncementFilter.h
@@ -13,6 +13,8 @@
 // The heartbeat that a backend server sends to the node beside it.
 struct Announcement {
   Endpoint Server;
+  // The data centre that the server states.
+  std::string DataCentre;
   // "IP:port" of its HTTP socket.
   std::string Address;
   // Start time of the server process. It identifies the incarnation: a restart
@@ -34,13 +36,17 @@
 };
 
 // Rejects announcements that arrive late, out of order or from an earlier
-// incarnation of the server. A departure is final for its incarnation, whatever
+// incarnation of the server, and those that contradict what its incarnation
+// announced before. A departure is final for its incarnation, whatever
 // arrives later, even if the node had not received any announcement of it.
 class AnnouncementFilter {
 public:
   // Returns Ok if the announcement is the newest one of the server beside this
-  // node, else HeartbeatStale.
+  // node, else HeartbeatStale or HeartbeatForeign.
   Common::ResultCode handleAnnouncement(const Announcement &Received);
+  // Whether the announcement states the incarnation and the service of the
+  // server beside this node.
+  bool isOfCurrentServer(const Announcement &Received) const;
   // Returns true if the departure ends the current incarnation of the server
   // beside this node.
   bool handleDeparture(const Departure &Received);
@@ -52,7 +58,10 @@
   const std::optional<DepartedServer> &departed() const { return Departed; }
 
 private:
+  // The server beside this node; empty before its first announcement.
   std::string Server;
+  std::string Service;
+  std::string Address;
   Common::WallTime StartTime;
   std::int64_t Sequence = -1;
   bool HasLeft = false;
--- a/Source/Core/Node/AnnouncementService.h
+++ b/Source/Core/Node/AnnouncementService.h
@@ -6,6 +6,7 @@
 
 #include "Kernel/Host.h"
 #include "Membership/AnnouncementFilter.h"
+#include "Membership/AnnouncementScreen.h"
 #include "Membership/DepartureRecall.h"
 #include "Membership/DepartureRecorder.h"
 #include "Node/Messages.h"
@@ -33,9 +34,10 @@
     Kernel::Address<IngressMessage> ToIngress = {};
   };
 
-  AnnouncementService(Kernel::Context Context, std::function<Sinks()> FindSinks)
+  AnnouncementService(Kernel::Context Context, std::function<Sinks()> FindSinks,
+                      Membership::AnnouncementScreen Screen)
       : Task(Context.ServiceTask), FindSinks(std::move(FindSinks)),
-        Recall(now()) {}
+        Screen(std::move(Screen)), Recall(now()) {}
 
   void start() {
     Targets = FindSinks();
@@ -70,7 +72,13 @@
   }
 
   void onMessage(DepartureArrived &Event) {
-    const Membership::Departure &Received = Event.Received;
+    leave(Event.Received);
+    acknowledgeDeparture(Event.Exchange);
+  }
+
+  void leave(const Membership::Departure &Announced) {
+    const Membership::Departure Received =
+        Membership::AnnouncementScreen::withoutImpossibleStart(Announced);
     const bool IsCurrent = Filter.handleDeparture(Received);
     spdlog::info("event=server-left server={} current={} start-time-sent={}",
                  Received.Server, IsCurrent, Received.StartTime.has_value());
@@ -79,7 +87,6 @@
     // Sent before the departure is recorded, so that the other nodes know it
     // when it is acknowledged.
     Targets.ToMembers.post(ServerLeft{Received.Server, Filter.departed()});
-    acknowledgeDeparture(Event.Exchange);
   }
 
   void onMessage(DepartureRecorded &Event) {
@@ -105,21 +112,22 @@
     adopt(Event.Departed, "other nodes");
   }
 
-  void onMessage(ConfigAccepted &Event) { Set = Event.Newest.Set; }
+  void onMessage(ConfigAccepted &Event) { Screen.useSet(Event.Newest.Set); }
 
   void onMessage(MembersChanged &Event) {
     Recall.setLiveMembers(Event.Alive->size());
   }
 
-  // Uses an announcement that the recall does not hold back.
+  // Uses an announcement that is not held back.
   void use(const Membership::Announcement &Received) {
-    // Another program may send announcements as well. One of a service that is
-    // not configured must not replace the server beside this node.
-    const bool IsConfigured =
-        !Set || Set->services().contains(Received.Server.Service);
-    const Common::ResultCode Result = IsConfigured
+    Common::ResultCode Screened = Screen.check(Received);
+    // The server of a service that is configured no more still has to leave.
+    if (Screened == Common::ResultCode::ServiceUnknown &&
+        Filter.isOfCurrentServer(Received))
+      Screened = Common::ResultCode::Ok;
+    const Common::ResultCode Result = Screened == Common::ResultCode::Ok
                                           ? Filter.handleAnnouncement(Received)
-                                          : Common::ResultCode::ServiceUnknown;
+                                          : Screened;
     if (Result != Common::ResultCode::Ok) {
       spdlog::warn(
           "event=heartbeat-ignored server={} service={} sequence={} code={}",
@@ -184,11 +192,10 @@
   Kernel::Timers Clock{Task};
   std::function<Sinks()> FindSinks;
   Sinks Targets;
+  Membership::AnnouncementScreen Screen;
   Membership::AnnouncementFilter Filter;
   Membership::DepartureRecorder Recorder;
   Membership::DepartureRecall Recall;
-  // Empty until the first set is in force.
-  Config::ObjectSetPtr Set;
   bool IsRecalled = false;
   std::deque<Membership::Announcement> HeldBack;
 };
