Announce the nodes again that the directory has lost

Cause: a node that has announced itself, listed the directory and knows another node never announces itself again (DirectoryBootstrap), so what the store lost is missing for good.

Change: when a later era is known, each node announces itself again after a random part of a second (Recovery::RewriteSchedule), so that 295 nodes write no herd, and then lists the directory once. Of two nodes one still finds the other, whichever started in between. Nodes that are listed but not known get a list request also from a node that has joined already (Prober::addSeeds), so that two groups meet.

--- a/Source/Core/Membership/DirectoryBootstrap.cpp
+++ b/Source/Core/Membership/DirectoryBootstrap.cpp
@@ -40,7 +40,9 @@
   BootstrapPeers Result;
   if (!Succeeded)
     return Result;
-  Listed = true;
+  // A list that was requested before a restart may lack the nodes that announce
+  // themselves again.
+  Listed = Announced;
   std::map<std::string, std::vector<SocketAddress>> RemoteByDataCentre;
   for (const DirectoryEntry &Entry : Entries)
     (Entry.DataCentre == DataCentre ? Result.Local
@@ -55,6 +57,13 @@
   return Result;
 }
 
+void DirectoryBootstrap::restart(Common::SteadyTime Now) {
+  Announced = false;
+  Listed = false;
+  Attempts = 0;
+  NextAt = Now;
+}
+
 void DirectoryBootstrap::setLiveMembers(std::size_t Count) {
   const bool IsJoined = Count > 1;
   if (Joined && !IsJoined)
--- a/Source/Core/Membership/DirectoryBootstrap.h
+++ b/Source/Core/Membership/DirectoryBootstrap.h
@@ -14,8 +14,9 @@
 // the other nodes until it has joined them. Each node announces itself before
 // it lists, so of two nodes that start at the same time at least one finds the
 // other. A node that has joined sends no more requests, unless it becomes the
-// only known member again. It lists at least once, even if another node found
-// it first, because that node may know just as few members.
+// only known member again, or the directory loses entries. It lists at least
+// once, even if another node found it first, because that node may know just as
+// few members.
 class DirectoryBootstrap {
 public:
   DirectoryBootstrap(std::string DataCentre, std::uint64_t Seed)
@@ -30,6 +31,9 @@
   BootstrapPeers onListed(bool Succeeded,
                           const std::vector<DirectoryEntry> &Entries,
                           Common::SteadyTime Now);
+  // The directory may have lost entries: announces this node again, and lists
+  // the nodes that have announced themselves since.
+  void restart(Common::SteadyTime Now);
   // Sets the number of nodes that are known to be alive, this one included.
   void setLiveMembers(std::size_t Count);
 
--- a/Source/Core/Membership/Prober.cpp
+++ b/Source/Core/Membership/Prober.cpp
@@ -321,7 +321,11 @@
   for (const SocketAddress &RemotePeer : Peers.Remote)
     if (!isRemoteFetchPeer(RemotePeer))
       RemoteFetches.push_back({RemotePeer, Now, InitialRemoteFetchInterval});
-  if (Started && !Joined)
+  if (!Started)
+    return;
+  if (Joined)
+    Fetch.begin(Peers.Local, false, Now);
+  else
     Fetch.begin(Options.Seeds, true, Now);
 }
 
--- a/Source/Core/Membership/Prober.h
+++ b/Source/Core/Membership/Prober.h
@@ -42,8 +42,10 @@
   std::vector<OutgoingDatagram> handleDatagram(const Datagram &Received,
                                                Common::SteadyTime Now);
 
-  // Adds peers from the directory as seeds; a node that has not joined yet also
-  // joins through them. The remote peers are asked for their member lists.
+  // Adds peers from the directory as seeds. A node that has not joined yet also
+  // joins through them; one that has joined exchanges members with them, as
+  // they may have joined others. The remote peers are asked for their member
+  // lists.
   void addSeeds(const BootstrapPeers &Peers, Common::SteadyTime Now);
   void announce(const Endpoint &Server);
   void withdraw(const std::string &Server);
--- a/Source/Core/Node/DirectoryService.h
+++ b/Source/Core/Node/DirectoryService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 
 #include <spdlog/spdlog.h>
 
@@ -55,10 +56,19 @@
 
   void onMessage(const MembersChanged &Event) {
     Bootstrap.setLiveMembers(Event.Alive->size());
+    LiveNodes.clear();
+    for (const Membership::Member &Member : *Event.Alive)
+      LiveNodes.insert(Member.Node);
   }
 
   void onMessage(const StoreEraChanged &Event) { Eras.observe(Event.Era); }
 
+  void onMessage(const EntriesLost &) {
+    spdlog::info("event=announced-again reason=\"the directory may have lost "
+                 "the entry of this node\"");
+    Bootstrap.restart(now());
+  }
+
   void onMessage(const RecordDeparture &Event) {
     DirectoryClient->recordDeparture(
         Self.Node, Event.Departed,
@@ -116,7 +126,7 @@
         reportOwnDeparture(Found);
       // Nodes that are known need no introduction.
       std::erase_if(Found, [this](const Membership::DirectoryEntry &Entry) {
-        return Entry.Node == Self.Node;
+        return Entry.Node == Self.Node || LiveNodes.contains(Entry.Node);
       });
       auto Seeds = Bootstrap.onListed(Succeeded, Found, now());
       if (Seeds.empty())
@@ -143,6 +153,8 @@
   std::unique_ptr<Directory> DirectoryClient;
   Membership::DirectoryBootstrap Bootstrap;
   Membership::DirectoryEntry Self;
+  // The nodes that are known to be alive.
+  std::set<std::string> LiveNodes;
   Recovery::EraTracker Eras;
 };
 
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -56,6 +56,8 @@
 struct StoreEraChanged {
   Recovery::StoreEra Era = 0;
 };
+// The store may have lost what this node wrote, which has to be written again.
+struct EntriesLost {};
 
 // Identifies the connection on which a call arrived. LocalOrigin stands for
 // the ingress of this node.
@@ -218,7 +220,7 @@
   Membership::DepartedServer Departed;
 };
 using DirectoryMessage =
-    std::variant<MembersChanged, RecordDeparture, StoreEraChanged>;
+    std::variant<MembersChanged, RecordDeparture, StoreEraChanged, EntriesLost>;
 
 // Messages of the backend server beside this node. Each is answered with
 // AnnouncementAnswered for its exchange.
--- a/Source/Core/Node/RecoveryService.h
+++ b/Source/Core/Node/RecoveryService.h
@@ -1,20 +1,22 @@
 #pragma once
 
 #include <functional>
+#include <random>
 
 #include <spdlog/spdlog.h>
 
 #include "Kernel/Host.h"
 #include "Node/Messages.h"
-#include "Recovery/EraTracker.h"
+#include "Recovery/RewriteSchedule.h"
 
 namespace Node {
 
 // Learns from every service that talks to the platform's store, and from other
 // nodes, when the store has come back from an older copy. Tells the services
-// that keep positions in it.
+// that keep positions in it at once, and those that have entries there after a
+// delay that differs from node to node.
 template <Kernel::MessageSink<StoreEraChanged> Config,
-          Kernel::MessageSink<StoreEraChanged> Directory>
+          Kernel::MessageSink<DirectoryMessage> Directory>
 class RecoveryService {
 public:
   using Message = RecoveryMessage;
@@ -24,8 +26,10 @@
     Directory ToDirectory;
   };
 
-  RecoveryService(Kernel::Context, std::function<Sinks()> FindSinks)
-      : FindSinks(std::move(FindSinks)) {}
+  RecoveryService(Kernel::Context Context, std::function<Sinks()> FindSinks,
+                  std::uint64_t Seed)
+      : Task(Context.ServiceTask), FindSinks(std::move(FindSinks)),
+        Schedule(Seed) {}
 
   void start() { Targets = FindSinks(); }
   void handle(const Message &Content) {
@@ -34,23 +38,47 @@
   void stop() {}
 
 private:
+  static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
+
   void onMessage(const StoreEraSeen &Event) {
-    const auto Before = Eras.current();
-    const Recovery::EraOrder Order = Eras.observe(Event.Era);
+    const auto Before = Schedule.current();
+    const bool WasDue = Schedule.dueAt().has_value();
+    const Recovery::EraOrder Order = Schedule.observe(Event.Era, now());
     if (Order == Recovery::EraOrder::Same)
       return;
     // Whoever stated an earlier era is told as well.
-    const StoreEraChanged Changed{*Eras.current()};
+    const StoreEraChanged Changed{*Schedule.current()};
     Targets.ToConfig.post(Changed);
     Targets.ToDirectory.post(Changed);
-    if (Order == Recovery::EraOrder::Later)
-      spdlog::warn("event=store-restored era={} before={} source=\"{}\"",
-                   Event.Era, *Before, Event.Source);
+    if (Order != Recovery::EraOrder::Later)
+      return;
+    spdlog::warn(
+        "event=store-restored era={} before={} source=\"{}\" "
+        "entries-again-in-ms={}",
+        Event.Era, *Before, Event.Source,
+        std::chrono::duration_cast<Common::Millis>(*Schedule.dueAt() - now())
+            .count());
+    if (!WasDue)
+      awaitRewrite();
+  }
+
+  void awaitRewrite() {
+    Clock.after(*Schedule.dueAt() - now(), [this] { rewrite(); });
+  }
+
+  void rewrite() {
+    if (!Schedule.takeDue(now())) {
+      awaitRewrite();
+      return;
+    }
+    Targets.ToDirectory.post(EntriesLost{});
   }
 
+  Kernel::Task &Task;
+  Kernel::Timers Clock{Task};
   std::function<Sinks()> FindSinks;
   Sinks Targets;
-  Recovery::EraTracker Eras;
+  Recovery::RewriteSchedule Schedule;
 };
 
 } // namespace Node
--- a/Source/UnitTests/Membership/JoiningTests.cpp
+++ b/Source/UnitTests/Membership/JoiningTests.cpp
@@ -164,6 +164,45 @@
   BOOST_TEST((Bootstrap.nextStep(Now) == DirectoryStep::List));
 }
 
+// Guards against nodes that never meet: the directory lost the entries of those
+// that had joined, and others started afterwards.
+BOOST_AUTO_TEST_CASE(AnnouncesAndListsAgainWhenTheDirectoryLostEntries) {
+  DirectoryBootstrap Bootstrap("here", 1);
+  Common::SteadyTime Now{Millis(1000)};
+  Bootstrap.nextStep(Now);
+  Bootstrap.onAnnounced(true, Now);
+  Bootstrap.nextStep(Now);
+  Bootstrap.onListed(true, {}, Now);
+  Bootstrap.setLiveMembers(2);
+  Now += Millis(1000);
+  BOOST_TEST((Bootstrap.nextStep(Now) == DirectoryStep::None));
+  Bootstrap.restart(Now);
+  BOOST_TEST((Bootstrap.nextStep(Now) == DirectoryStep::Announce));
+  Bootstrap.onAnnounced(true, Now);
+  BOOST_TEST((Bootstrap.nextStep(Now) == DirectoryStep::List));
+  BOOST_TEST(
+      Bootstrap.onListed(true, {{"a", "here", {"1", 1}}}, Now).Local.size() ==
+      1U);
+  Now += Millis(60'000);
+  BOOST_TEST((Bootstrap.nextStep(Now) == DirectoryStep::None));
+}
+
+// Of two nodes, one finds the other because each lists after its announcement.
+BOOST_AUTO_TEST_CASE(AListOfBeforeTheLossDoesNotCount) {
+  DirectoryBootstrap Bootstrap("here", 1);
+  Common::SteadyTime Now{Millis(1000)};
+  Bootstrap.nextStep(Now);
+  Bootstrap.onAnnounced(true, Now);
+  BOOST_TEST((Bootstrap.nextStep(Now) == DirectoryStep::List));
+  Bootstrap.restart(Now);
+  Bootstrap.onListed(true, {{"a", "here", {"1", 1}}}, Now);
+  Bootstrap.setLiveMembers(2);
+  Now += Millis(1000);
+  BOOST_TEST((Bootstrap.nextStep(Now) == DirectoryStep::Announce));
+  Bootstrap.onAnnounced(true, Now);
+  BOOST_TEST((Bootstrap.nextStep(Now) == DirectoryStep::List));
+}
+
 BOOST_AUTO_TEST_CASE(ReportsLoadWhenFreeCapacityChanges) {
   LoadReportScheduler Scheduler(true);
   const LoadSubscribers FewSubscribers{.Local = 1, .Remote = 0};
--- a/Source/UnitTests/Membership/ProberTests.cpp
+++ b/Source/UnitTests/Membership/ProberTests.cpp
@@ -179,6 +179,22 @@
   BOOST_TEST(Nodes.allKnow(40));
 }
 
+// Guards against two groups that never meet: the second one started while the
+// directory lacked the entries of the first, and joined within itself.
+BOOST_AUTO_TEST_CASE(GroupsMeetThroughAPeerThatTheDirectoryListsLater) {
+  Fleet Nodes(11);
+  Nodes.addMany(10, "d");
+  for (int I = 100; I < 110; ++I)
+    Nodes.add(Fleet::name(I), "d", {{Fleet::name(100), 7}});
+  Nodes.run(Millis(10'000));
+  BOOST_REQUIRE(Nodes.allKnow(10));
+  const SocketAddress Gone{Fleet::name(50), 7};
+  Nodes[Fleet::name(3)].addSeeds({{Gone, {Fleet::name(104), 7}}, {}},
+                                 Nodes.now());
+  Nodes.run(Millis(15'000), [&] { return Nodes.allKnow(20); });
+  BOOST_TEST(Nodes.allKnow(20));
+}
+
 // Guards against nodes that never join their own data centre. With one seed in
 // each data centre, a node that happened to ask only the remote seed learned of
 // no local member, and no local member learned of it.
