Hold heartbeats back until the configured services are known

Cause: until the first set is in force each service counted as configured, and what was taken by then was not looked at again.

Change: a node that has no set yet holds announcements back, as it did already while it did not know the recorded departure: the newest of each server, for four seconds at most (Membership::HeldAnnouncements). It serves no calls in that time anyway. An announcement of a server that leaves counts as its departure meanwhile, which takes no server's place.

--- a/Source/Core/Membership/AnnouncementScreen.cpp
+++ b/Source/Core/Membership/AnnouncementScreen.cpp
@@ -16,7 +16,7 @@
 
 Common::ResultCode
 AnnouncementScreen::check(const Announcement &Received) const {
-  if (Set && !Set->services().contains(Received.Server.Service))
+  if (!Set->services().contains(Received.Server.Service))
     return Common::ResultCode::ServiceUnknown;
   const bool IsOnThisVm =
       Address.empty() ||
--- a/Source/Core/Membership/AnnouncementScreen.h
+++ b/Source/Core/Membership/AnnouncementScreen.h
@@ -18,8 +18,9 @@
       : DataCentre(std::move(DataCentre)), Address(std::move(Address)) {}
 
   void useSet(Config::ObjectSetPtr Newest) { Set = std::move(Newest); }
-  // Returns Ok, ServiceUnknown or HeartbeatForeign. Without a set it is unknown
-  // which services there are.
+  // Without a set it is unknown which services there are.
+  bool isReady() const { return Set != nullptr; }
+  // Returns Ok, ServiceUnknown or HeartbeatForeign. Requires a set.
   Common::ResultCode check(const Announcement &Received) const;
   // Removes a start time that can't be right from a departure, whose name alone
   // suffices.
--- a/Source/Core/Node/AnnouncementService.h
+++ b/Source/Core/Node/AnnouncementService.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <deque>
-
 #include <spdlog/spdlog.h>
 
 #include "Kernel/Host.h"
@@ -9,6 +7,7 @@
 #include "Membership/AnnouncementScreen.h"
 #include "Membership/DepartureRecall.h"
 #include "Membership/DepartureRecorder.h"
+#include "Membership/HeldAnnouncements.h"
 #include "Node/Messages.h"
 
 namespace Node {
@@ -16,7 +15,8 @@
 // Decides which announcements and departures of the backend server beside this
 // node are in force. A departure is acknowledged once the directory has
 // recorded it, so that it also binds a later process of this node. A new
-// process holds announcements back until it knows the recorded departure.
+// process holds announcements back until it knows the recorded departure and
+// the services that are configured.
 template <Kernel::MessageSink<BackendMessage> Backend,
           Kernel::MessageSink<MembersMessage> Members,
           Kernel::MessageSink<DirectoryMessage> Directory,
@@ -50,21 +50,18 @@
 
 private:
   static constexpr Common::Millis TickInterval{100};
-  // Announcements that wait for the recall. One that is dropped is repeated by
-  // the server.
-  static constexpr std::size_t MaxHeldBack = 16;
 
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
 
   void onMessage(AnnouncementArrived &Event) {
     const Membership::Announcement &Received = Event.Received;
-    if (!IsRecalled && !Received.Server.Leaving) {
-      if (HeldBack.size() < MaxHeldBack)
-        HeldBack.push_back(Received);
-      answer(Event.Exchange, Common::ResultCode::Ok);
-      return;
-    }
-    use(Received);
+    const bool MayBeUsed = IsRecalled && Screen.isReady();
+    if (MayBeUsed)
+      use(Received);
+    else if (Received.Server.Leaving)
+      leave({Received.Server.Server, Received.StartTime, Received.ReceivedAt});
+    else
+      HeldBack.add(Received, now());
     if (Received.Server.Leaving)
       acknowledgeDeparture(Event.Exchange);
     else
@@ -112,7 +109,10 @@
     adopt(Event.Departed, "other nodes");
   }
 
-  void onMessage(ConfigAccepted &Event) { Screen.useSet(Event.Newest.Set); }
+  void onMessage(ConfigAccepted &Event) {
+    Screen.useSet(Event.Newest.Set);
+    useHeldBack();
+  }
 
   void onMessage(MembersChanged &Event) {
     Recall.setLiveMembers(Event.Alive->size());
@@ -179,8 +179,14 @@
     if (IsRecalled || !Recall.isComplete(now()))
       return;
     IsRecalled = true;
-    spdlog::info("event=recall-complete held-back={}", HeldBack.size());
-    for (const Membership::Announcement &Received : std::exchange(HeldBack, {}))
+    spdlog::info("event=recall-complete");
+    useHeldBack();
+  }
+
+  void useHeldBack() {
+    if (!IsRecalled || !Screen.isReady())
+      return;
+    for (const Membership::Announcement &Received : HeldBack.take(now()))
       use(Received);
   }
 
@@ -197,7 +203,7 @@
   Membership::DepartureRecorder Recorder;
   Membership::DepartureRecall Recall;
   bool IsRecalled = false;
-  std::deque<Membership::Announcement> HeldBack;
+  Membership::HeldAnnouncements HeldBack;
 };
 
 } // namespace Node
