Record departures again that the directory has lost

After the store came back from an older copy nothing wrote it again, and a restarted node would use a late heartbeat of the server that has left.

Change: with its own entry a node also records the last departure again, and tries on while the store refuses it. Test: RecordsALostDepartureAgainWithoutARequest, which the recorder could not do before.

--- a/Source/Core/Membership/DepartureRecorder.cpp
+++ b/Source/Core/Membership/DepartureRecorder.cpp
@@ -24,11 +24,13 @@
   std::vector<RequestId> Result;
   if (!Pending)
     return Result;
-  if (Succeeded)
+  if (Succeeded) {
     Recorded = Pending;
+    IsRecordOwed = false;
+  }
   for (const Waiting &Entry : Requests)
-    if (Entry.Departed == *Pending)
-      Result.push_back(Entry.Request);
+    if (Entry.Departed == *Pending && Entry.Request)
+      Result.push_back(*Entry.Request);
   std::erase_if(Requests, [this](const Waiting &Entry) {
     return Entry.Departed == *Pending;
   });
@@ -41,4 +43,14 @@
     Recorded = Earlier;
 }
 
+void DepartureRecorder::loseRecord() {
+  Recorded.reset();
+  IsRecordOwed = true;
+}
+
+void DepartureRecorder::recordOwed(const DepartedServer &Departed) {
+  if (IsRecordOwed)
+    Requests.push_back({std::nullopt, Departed});
+}
+
 } // namespace Membership
--- a/Source/Core/Membership/DepartureRecorder.h
+++ b/Source/Core/Membership/DepartureRecorder.h
@@ -26,16 +26,24 @@
   std::vector<RequestId> onRecorded(bool Succeeded);
   // A departure that an earlier process recorded.
   void adopt(const DepartedServer &Earlier);
+  // The record may be lost, and has to be written again.
+  void loseRecord();
+  // Whether the record was lost and is not written again yet.
+  bool isRecordOwed() const { return IsRecordOwed; }
+  // Has next() return the departure although no request waits for it.
+  void recordOwed(const DepartedServer &Departed);
 
 private:
   struct Waiting {
-    RequestId Request = 0;
+    // Empty if nobody waits for the answer.
+    std::optional<RequestId> Request;
     DepartedServer Departed;
   };
 
   std::optional<DepartedServer> Recorded;
   std::optional<DepartedServer> Pending;
   std::vector<Waiting> Requests;
+  bool IsRecordOwed = false;
 };
 
 } // namespace Membership
--- a/Source/Core/Node/AnnouncementService.h
+++ b/Source/Core/Node/AnnouncementService.h
@@ -50,6 +50,7 @@
 
 private:
   static constexpr Common::Millis TickInterval{100};
+  static constexpr Common::Millis RecordRetryDelay{500};
 
   static Common::SteadyTime now() { return std::chrono::steady_clock::now(); }
 
@@ -93,9 +94,18 @@
                    Event.Departed.Server, Common::resultCodeNumber(Event.Code));
     for (const auto Exchange : Recorder.onRecorded(Succeeded))
       answer(Exchange, Event.Code);
+    if (!Succeeded && Recorder.isRecordOwed())
+      Clock.after(RecordRetryDelay, [this] { recordAgain(); });
     recordNext();
   }
 
+  void onMessage(const EntriesLost &) {
+    if (!Filter.departed())
+      return;
+    Recorder.loseRecord();
+    recordAgain();
+  }
+
   void onMessage(DepartureListed &Event) {
     if (Event.Departed) {
       Recorder.adopt(*Event.Departed);
@@ -153,6 +163,12 @@
       recordNext();
   }
 
+  // Records the last departure without a request of the server.
+  void recordAgain() {
+    Recorder.recordOwed(*Filter.departed());
+    recordNext();
+  }
+
   void recordNext() {
     if (const auto Departed = Recorder.next())
       Targets.ToDirectory.post(RecordDeparture{*Departed});
--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -248,7 +248,7 @@
 using AnnouncementMessage =
     std::variant<AnnouncementArrived, DepartureArrived, DepartureRecorded,
                  DepartureListed, DepartureReported, MembersChanged,
-                 ConfigAccepted>;
+                 ConfigAccepted, EntriesLost>;
 
 // The outcome of an announcement or departure. A departure that could not be
 // recorded is not acknowledged.
--- a/Source/Core/Node/RecoveryService.h
+++ b/Source/Core/Node/RecoveryService.h
@@ -16,7 +16,8 @@
 // that keep positions in it at once, and those that have entries there after a
 // delay that differs from node to node.
 template <Kernel::MessageSink<StoreEraChanged> Config,
-          Kernel::MessageSink<DirectoryMessage> Directory>
+          Kernel::MessageSink<DirectoryMessage> Directory,
+          Kernel::MessageSink<EntriesLost> Announcements>
 class RecoveryService {
 public:
   using Message = RecoveryMessage;
@@ -24,6 +25,7 @@
   struct Sinks {
     Config ToConfig;
     Directory ToDirectory;
+    Announcements ToAnnouncements;
   };
 
   RecoveryService(Kernel::Context Context, std::function<Sinks()> FindSinks,
@@ -72,6 +74,7 @@
       return;
     }
     Targets.ToDirectory.post(EntriesLost{});
+    Targets.ToAnnouncements.post(EntriesLost{});
   }
 
   Kernel::Task &Task;
--- a/Source/UnitTests/Membership/DepartureRecorderTests.cpp
+++ b/Source/UnitTests/Membership/DepartureRecorderTests.cpp
@@ -50,6 +50,30 @@
   BOOST_TEST(Recorder.onRecorded(true).at(0) == 2U);
 }
 
+// Guards against a departure that was acknowledged and that the directory lost
+// when it came back from an older copy.
+BOOST_AUTO_TEST_CASE(RecordsALostDepartureAgainWithoutARequest) {
+  DepartureRecorder Recorder;
+  Recorder.request(1, departed("a"));
+  Recorder.next();
+  Recorder.onRecorded(true);
+  Recorder.recordOwed(departed("a"));
+  BOOST_TEST(!Recorder.next());
+  Recorder.loseRecord();
+  Recorder.recordOwed(departed("a"));
+  BOOST_TEST((Recorder.next() == departed("a")));
+  // A repeated departure is acknowledged once the record is back.
+  BOOST_TEST(!Recorder.request(2, departed("a")));
+  BOOST_TEST(Recorder.onRecorded(false).at(0) == 2U);
+  BOOST_TEST(Recorder.isRecordOwed());
+  BOOST_TEST(!Recorder.next());
+  Recorder.recordOwed(departed("a"));
+  BOOST_TEST((Recorder.next() == departed("a")));
+  BOOST_TEST(Recorder.onRecorded(true).empty());
+  BOOST_TEST(!Recorder.isRecordOwed());
+  BOOST_TEST(Recorder.request(3, departed("a")));
+}
+
 BOOST_AUTO_TEST_CASE(ARestartedNodeWaitsForTheDirectoryOrForOtherNodes) {
   const Common::SteadyTime Start{Millis(1000)};
   const auto Later = Start + DepartureRecall::PeerReportTime;
