Write lost statuses of roll-outs again, and know orders in a later era

An order was told from a newer one by its position, which a drill gives out again: an order that the operator wrote again could begin once more after its end, and a new one at an earlier position was ignored for good. A status that was lost stayed lost. A status is appended on the condition that the statuses end where they were read; that end may be reached again in another era.

Change: Rollout::OrderIntake ranks positions by era first and knows an order that is read once more. The coordinator forgets its position when the era changes, and after the next read of the orders it compares the statuses with what it knows and writes those that are missing. A write whose answer is of another era than the read before it is checked again. Any node may become coordinator later, so each of them notes that statuses may be owed.

--- a/Source/Core/Node/Messages.h
+++ b/Source/Core/Node/Messages.h
@@ -300,8 +300,9 @@
 using ClaimsMessage = std::variant<ClaimCall, ClaimedCallEnded, MembersChanged,
                                    EnvelopeArrived, EnvelopeConnectionLost>;
 
-using RolloutMessage = std::variant<MembersChanged, ServerWatched,
-                                    EnvelopeArrived, EnvelopeConnectionLost>;
+using RolloutMessage =
+    std::variant<MembersChanged, ServerWatched, EnvelopeArrived,
+                 EnvelopeConnectionLost, StoreEraChanged>;
 
 // What the tenants asked of this node since the last such message.
 struct DemandCounted {
--- a/Source/Core/Node/RecoveryService.h
+++ b/Source/Core/Node/RecoveryService.h
@@ -17,7 +17,8 @@
 // delay that differs from node to node.
 template <Kernel::MessageSink<StoreEraChanged> Config,
           Kernel::MessageSink<DirectoryMessage> Directory,
-          Kernel::MessageSink<EntriesLost> Announcements>
+          Kernel::MessageSink<EntriesLost> Announcements,
+          Kernel::MessageSink<StoreEraChanged> Rollouts>
 class RecoveryService {
 public:
   using Message = RecoveryMessage;
@@ -26,6 +27,8 @@
     Config ToConfig;
     Directory ToDirectory;
     Announcements ToAnnouncements;
+    // Closed if services are not moved between versions.
+    Rollouts ToRollouts;
   };
 
   RecoveryService(Kernel::Context Context, std::function<Sinks()> FindSinks,
@@ -52,6 +55,7 @@
     const StoreEraChanged Changed{*Schedule.current()};
     Targets.ToConfig.post(Changed);
     Targets.ToDirectory.post(Changed);
+    Targets.ToRollouts.post(Changed);
     if (Order != Recovery::EraOrder::Later)
       return;
     spdlog::warn(
--- a/Source/Core/Node/RolloutService.h
+++ b/Source/Core/Node/RolloutService.h
@@ -18,7 +18,9 @@
 #include "Membership/Rendezvous.h"
 #include "Node/Messages.h"
 #include "Node/NodeSettings.h"
+#include "Recovery/EraTracker.h"
 #include "Rollout/Coordinator.h"
+#include "Rollout/OrderIntake.h"
 #include "Rollout/OrderStore.h"
 #include "Rollout/ReportCollector.h"
 #include "Rollout/StatusWriter.h"
@@ -43,6 +45,8 @@
     Ingress ToIngress;
     Backend ToBackend;
     Control ToControl;
+    // Closed if the store is never replaced by an older copy.
+    Kernel::Address<RecoveryMessage> ToRecovery = {};
   };
 
   RolloutService(Kernel::Context Context, const NodeSettings &Settings,
@@ -169,6 +173,27 @@
   }
   void onMessage(EnvelopeConnectionLost &) {}
 
+  void onMessage(StoreEraChanged &Event) {
+    if (observe(Event.Era) == Recovery::EraOrder::Later && IsReading) {
+      Orders->cancel();
+      IsReading = false;
+    }
+  }
+
+  // Positions of an earlier era name other records, and the statuses that were
+  // written in it may be lost.
+  Recovery::EraOrder observe(std::optional<Recovery::StoreEra> Stated) {
+    const Recovery::EraOrder Result = Eras.observe(Stated);
+    if (Result != Recovery::EraOrder::Same)
+      Targets.ToRecovery.post(StoreEraSeen{*Stated, "rollouts"});
+    if (Result == Recovery::EraOrder::Later) {
+      ReadFrom.reset();
+      Intake.handleStoreRestored();
+      AreStatusesOwed = true;
+    }
+    return Result;
+  }
+
   void onEnvelope(Wire::RolloutNews &News) {
     if (News.FromCoordinator) {
       Election.handleReaderAnnouncement(News.Node, now());
@@ -300,6 +325,14 @@
   }
 
   void onOrders(const Rollout::OrdersRead &Read) {
+    const bool WasReadOn = ReadFrom.has_value();
+    const Recovery::EraOrder Order = observe(Read.Era);
+    if (Order == Recovery::EraOrder::Earlier ||
+        (Order == Recovery::EraOrder::Later && WasReadOn)) {
+      if (isCoordinator())
+        readOrders();
+      return;
+    }
     if (Read.Code != Common::ResultCode::Ok) {
       spdlog::warn("dependency=rollout-orders state=lost code={}",
                    Common::resultCodeNumber(Read.Code));
@@ -311,21 +344,35 @@
     StoreReachedAt = now();
     const bool IsFirstRead = !ReadFrom;
     ReadFrom = Read.Next;
-    for (const Rollout::Order &Found : Read.Orders) {
-      const Rollout::Progress *Known = Table.find(Found.Service);
-      if (Known && Known->Ordered.Position >= Found.Position)
+    std::set<std::string> Replaced;
+    for (Rollout::Order Found : Read.Orders) {
+      Found.Position = Rollout::positionInEra(Read.Era, Found.Position);
+      const Rollout::OrderStep Step =
+          Intake.handleOrder(Found, Table.find(Found.Service), IsFirstRead);
+      if (Step == Rollout::OrderStep::Skip)
         continue;
+      Replaced.insert(Found.Service);
       // An order that was there before may have ended long ago.
-      if (IsFirstRead)
+      if (Step == Rollout::OrderStep::Resume)
         Writer.resume({Found, Rollout::Stage::Trial, now()});
       else
         begin({Found, Rollout::Stage::Trial, now()});
     }
+    if (std::exchange(AreStatusesOwed, false))
+      restoreStatuses(Replaced);
     // Reads on at once, so that an order is known when it is written.
     if (isCoordinator())
       readOrders();
   }
 
+  // Writes the statuses again that the store has lost, but for services whose
+  // status belongs to another order by now.
+  void restoreStatuses(const std::set<std::string> &Replaced) {
+    for (const auto &[Service, Known] : Table.all())
+      if (!Replaced.contains(Service))
+        Writer.restore(Known);
+  }
+
   void begin(const Rollout::Progress &Ordered) {
     Writer.begin(Ordered);
     merge(Ordered, "ordered");
@@ -336,22 +383,46 @@
     if (!Writer.isDue(now()))
       return;
     Writer.onStarted();
-    Orders->readStatuses([this](const Rollout::StatusesRead &Read) {
+    Orders->readStatuses([this](Rollout::StatusesRead Read) {
+      // Statuses of an earlier era are read again.
+      if (observe(Read.Era) == Recovery::EraOrder::Earlier)
+        Read.Code = Common::ResultCode::LogUnavailable;
       const Rollout::WriteStep Step = Writer.onStatuses(Read, now());
       for (const Rollout::Progress &Adopted : Step.Adopted)
-        merge(Adopted, "found in the store");
+        if (!isEndOfEarlierOrder(Adopted))
+          merge(Adopted, "found in the store");
       if (Step.Write)
         Orders->writeStatus(
-            *Step.Write, Read.End, [this](const Recovery::StoreAnswer &Answer) {
-              const Common::ResultCode Code = Answer.Code;
-              spdlog::info("event=rollout-status-written code={}",
-                           Common::resultCodeNumber(Code));
-              for (const auto &Written : Writer.onWritten(Code, now()))
-                merge(Written, "written to the store");
+            *Step.Write, Read.End,
+            [this, ReadEra = Read.Era](const Recovery::StoreAnswer &Answer) {
+              onStatusWritten(Answer, ReadEra);
             });
     });
   }
 
+  // Whether a status that was found ends an order that the copy of the store
+  // still holds, although a later order of the service is known.
+  bool isEndOfEarlierOrder(const Rollout::Progress &Adopted) const {
+    const Rollout::Progress *Known = Table.find(Adopted.Ordered.Service);
+    return Known && Rollout::isFinal(Adopted.Reached) &&
+           Known->Ordered.TargetVersion != Adopted.Ordered.TargetVersion &&
+           Rollout::isOfLaterEra(Adopted.Ordered, Known->Ordered);
+  }
+
+  void onStatusWritten(const Recovery::StoreAnswer &Answer,
+                       std::optional<Recovery::StoreEra> ReadEra) {
+    observe(Answer.Era);
+    Common::ResultCode Code = Answer.Code;
+    // The condition held for an end of another era, or the status is lost.
+    if (Code == Common::ResultCode::Ok &&
+        (Answer.Era != ReadEra || Answer.Era != Eras.current()))
+      Code = Common::ResultCode::PublishRaceLost;
+    spdlog::info("event=rollout-status-written code={}",
+                 Common::resultCodeNumber(Code));
+    for (const auto &Written : Writer.onWritten(Code, now()))
+      merge(Written, "written to the store");
+  }
+
   // Passes on what this node knows: the coordinator to the representatives, and
   // these to the nodes of their data centre.
   void spreadNews() {
@@ -417,6 +488,10 @@
   // Where to read on; empty before the first read.
   std::optional<std::int64_t> ReadFrom;
   bool IsReading = false;
+  Recovery::EraTracker Eras;
+  Rollout::OrderIntake Intake;
+  // Whether the store may have lost statuses since the orders were last read.
+  bool AreStatusesOwed = false;
   Common::SteadyTime NextReadAt;
   Common::SteadyTime StoreReachedAt;
   Common::SteadyTime NewsSentAt;
--- a/Source/Core/Rollout/StatusWriter.cpp
+++ b/Source/Core/Rollout/StatusWriter.cpp
@@ -44,6 +44,12 @@
                              Pending{Final, Origin::Decided});
 }
 
+void StatusWriter::restore(const Progress &Known) {
+  // What is to be written anyway is newer.
+  ByService.try_emplace(Known.Ordered.Service,
+                        Pending{Known, Origin::Restored});
+}
+
 bool StatusWriter::isDue(Common::SteadyTime Now) const {
   return !IsBusy && !ByService.empty() && Now >= NextAt;
 }
--- a/Source/Core/Rollout/StatusWriter.h
+++ b/Source/Core/Rollout/StatusWriter.h
@@ -29,6 +29,8 @@
   void resume(const Progress &Ordered);
   // The roll-out has to end with this final stage.
   void request(const Progress &Final);
+  // The store may have lost the status of this roll-out.
+  void restore(const Progress &Known);
 
   bool isDue(Common::SteadyTime Now) const;
   void onStarted() { IsBusy = true; }
@@ -38,7 +40,7 @@
                                   Common::SteadyTime Now);
 
 private:
-  enum class Origin { Begun, Resumed, Decided };
+  enum class Origin { Begun, Resumed, Decided, Restored };
   struct Pending {
     Progress Wanted;
     Origin From = Origin::Begun;
--- a/Source/UnitTests/Node/RolloutServiceTests.cpp
+++ b/Source/UnitTests/Node/RolloutServiceTests.cpp
@@ -18,6 +18,7 @@
   std::vector<Rollout::Order> Orders;
   std::vector<Rollout::Status> Statuses;
   bool IsAway = false;
+  std::optional<Recovery::StoreEra> Era;
 };
 
 struct StoreStub {
@@ -33,6 +34,7 @@
       Rollout::OrdersRead Read;
       Read.Code = Shared->IsAway ? ResultCode::LogUnavailable : ResultCode::Ok;
       Read.Next = static_cast<std::int64_t>(Shared->Orders.size());
+      Read.Era = Shared->Era;
       for (const Rollout::Order &Entry : Shared->Orders)
         if (!Shared->IsAway && Entry.Position > Position)
           Read.Orders.push_back(Entry);
@@ -45,16 +47,17 @@
     if (!Shared->Statuses.empty())
       Read.Statuses.push_back(Shared->Statuses.back());
     Read.End = static_cast<std::int64_t>(Shared->Statuses.size());
+    Read.Era = Shared->Era;
     OnDone(Read);
   }
   void writeStatus(const Rollout::Status &Content, std::int64_t End,
-                   const std::function<void(ResultCode)> &OnDone) {
+                   const std::function<void(Recovery::StoreAnswer)> &OnDone) {
     if (End != static_cast<std::int64_t>(Shared->Statuses.size())) {
-      OnDone(ResultCode::PublishRaceLost);
+      OnDone({ResultCode::PublishRaceLost, Shared->Era});
       return;
     }
     Shared->Statuses.push_back(Content);
-    OnDone(ResultCode::Ok);
+    OnDone({ResultCode::Ok, Shared->Era});
   }
   void cancel() {}
 };
@@ -230,6 +233,39 @@
   }));
 }
 
+// Guards against an operator who is told nothing, and a roll-out that begins
+// once more: the store came back from a copy of before the order.
+BOOST_AUTO_TEST_CASE(GoesOnAfterTheStoreHasLostTheOrderAndItsStatus) {
+  Cluster Nodes;
+  Nodes.Worker.runAndWait([&] { Nodes.Store.Era = 1; });
+  Nodes.order();
+  BOOST_REQUIRE(Nodes.waitFor(Millis(8'000),
+                              [&] { return Nodes.isWritten(State::Running); }));
+  Nodes.Worker.runAndWait([&] {
+    Nodes.Store.Statuses.clear();
+    Nodes.Store.Orders.clear();
+    Nodes.Store.Era = 2;
+  });
+  // What the system wrote has to be back two seconds after the store.
+  BOOST_TEST(Nodes.waitFor(Millis(2'000),
+                           [&] { return Nodes.isWritten(State::Running); }));
+  Nodes.order();
+  BOOST_REQUIRE(Nodes.waitFor(
+      Millis(20'000), [&] { return Nodes.isWritten(State::Completed); }));
+  BOOST_TEST(Nodes.Store.Statuses.size() == 2U);
+  // A status that is final is written again as well, and the order does not
+  // begin once more.
+  Nodes.Worker.runAndWait([&] {
+    Nodes.Store.Statuses.clear();
+    Nodes.Store.Era = 4;
+  });
+  BOOST_TEST(Nodes.waitFor(Millis(2'000),
+                           [&] { return Nodes.isWritten(State::Completed); }));
+  std::this_thread::sleep_for(Millis(1'500));
+  Nodes.Worker.runAndWait(
+      [&] { BOOST_TEST(Nodes.Store.Statuses.size() == 1U); });
+}
+
 BOOST_AUTO_TEST_CASE(RollsBackThoughTheStoreIsAwayForAWhile) {
   Cluster Nodes;
   Nodes.IsNewBad = true;
--- a/Source/UnitTests/Rollout/StatusWriterTests.cpp
+++ b/Source/UnitTests/Rollout/StatusWriterTests.cpp
@@ -80,4 +80,45 @@
   BOOST_TEST((Step.Adopted[0].Reached == Stage::Trial));
 }
 
+// Guards against a status that the store lost when it came back from an older
+// copy: nobody wrote it again.
+BOOST_AUTO_TEST_CASE(WritesALostStatusAgain) {
+  for (const Stage Reached :
+       {Stage::Trial, Stage::Completed, Stage::RolledBack}) {
+    Rollout::StatusWriter Writer;
+    Writer.restore(progress(Reached));
+    BOOST_TEST(Writer.isDue(Now));
+    const auto Lost = Writer.onStatuses({ResultCode::Ok, {}, 3}, Now);
+    BOOST_REQUIRE(Lost.Write.has_value());
+    Writer.onWritten(ResultCode::Ok, Now);
+    BOOST_TEST(!Writer.isDue(Now));
+  }
+  // The copy holds an earlier status of the order.
+  Rollout::StatusWriter Writer;
+  Writer.restore(progress(Stage::RolledBack));
+  const auto Earlier = Writer.onStatuses(found(State::Running), Now);
+  BOOST_REQUIRE(Earlier.Write.has_value());
+  BOOST_TEST((Earlier.Write->Reached == State::RolledBack));
+}
+
+BOOST_AUTO_TEST_CASE(WritesNoStatusThatTheStoreStillHolds) {
+  for (const auto &[Reached, Held] :
+       {std::pair(Stage::Full, State::Running),
+        std::pair(Stage::Completed, State::Completed),
+        // Another coordinator has written the end since.
+        std::pair(Stage::Full, State::RolledBack)}) {
+    Rollout::StatusWriter Writer;
+    Writer.restore(progress(Reached));
+    BOOST_TEST(!Writer.onStatuses(found(Held), Now).Write.has_value());
+    BOOST_TEST(!Writer.isDue(Now));
+  }
+  // A decision that is to be written anyway is newer.
+  Rollout::StatusWriter Writer;
+  Writer.request(progress(Stage::RolledBack));
+  Writer.restore(progress(Stage::Full));
+  const auto Step = Writer.onStatuses(found(State::Running), Now);
+  BOOST_REQUIRE(Step.Write.has_value());
+  BOOST_TEST((Step.Write->Reached == State::RolledBack));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
