--- a/Source/UnitTests/Config/StoreDrillFuzzTests.cpp
+++ b/Source/UnitTests/Config/StoreDrillFuzzTests.cpp
@@ -99,7 +99,7 @@
 
   void replaceNode() {
     const auto Names = Store.names();
-    const std::string Name =
+    const std::string &Name =
         Names[static_cast<std::size_t>(pick(static_cast<int>(Names.size())))];
     Store.crash(Name);
     run(Millis(pick(2'000)));
