--- a/Source/Core/Node/RecoveryService.h
+++ b/Source/Core/Node/RecoveryService.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <functional>
-#include <random>
 
 #include <spdlog/spdlog.h>
 
